--- a/cmake/HornbeamgateInstall.cmake
+++ b/cmake/HornbeamgateInstall.cmake
@@ -2,7 +2,7 @@
 # hornbeamgate::runtime.
 include(CMakePackageConfigHelpers)
 
-install(TARGETS hornbeamgate-core hornbeamgate-runtime EXPORT hornbeamgate-targets
+install(TARGETS hornbeamgate-core hornbeamgate-support hornbeamgate-gateway hornbeamgate-http-parser hornbeamgate-runtime EXPORT hornbeamgate-targets
   ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
 install(DIRECTORY src/hornbeamgate DESTINATION ${CMAKE_INSTALL_INCLUDEDIR} FILES_MATCHING PATTERN "*.hpp")
 install(EXPORT hornbeamgate-targets NAMESPACE hornbeamgate:: DESTINATION ${CMAKE_INSTALL_LIBDIR}/cmake/hornbeamgate)
--- a/src/hornbeamgate/bookings/booking_appender.hpp
+++ b/src/hornbeamgate/bookings/booking_appender.hpp
@@ -2,7 +2,7 @@
 
 #include "hornbeamgate/base/time.hpp"
 #include "hornbeamgate/bookings/booking_record.hpp"
-#include "hornbeamgate/platform/log_events.hpp"
+#include "hornbeamgate/event_log/log_events.hpp"
 
 #include <deque>
 #include <functional>
--- a/src/hornbeamgate/bookings/booking_partition.hpp
+++ b/src/hornbeamgate/bookings/booking_partition.hpp
@@ -4,7 +4,7 @@
 #include "hornbeamgate/bookings/booking_appender.hpp"
 #include "hornbeamgate/bookings/booking_index.hpp"
 #include "hornbeamgate/bookings/booking_record.hpp"
-#include "hornbeamgate/platform/log_events.hpp"
+#include "hornbeamgate/event_log/log_events.hpp"
 
 #include <nlohmann/json_fwd.hpp>
 
--- a/src/hornbeamgate/config/config_chain.hpp
+++ b/src/hornbeamgate/config/config_chain.hpp
@@ -2,7 +2,7 @@
 
 #include "hornbeamgate/config/accepted_config.hpp"
 #include "hornbeamgate/config/config_record.hpp"
-#include "hornbeamgate/platform/log_events.hpp"
+#include "hornbeamgate/event_log/log_events.hpp"
 
 #include <deque>
 #include <optional>
--- a/src/hornbeamgate/config/config_events.hpp
+++ b/src/hornbeamgate/config/config_events.hpp
@@ -2,7 +2,7 @@
 
 #include "hornbeamgate/base/time.hpp"
 #include "hornbeamgate/config/config_message.hpp"
-#include "hornbeamgate/platform/log_events.hpp"
+#include "hornbeamgate/event_log/log_events.hpp"
 
 #include <string>
 #include <variant>
--- /dev/null
+++ b/src/hornbeamgate/gateway/directory_replica.cpp
@@ -0,0 +1,44 @@
+#include "hornbeamgate/gateway/directory_replica.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace hornbeamgate {
+
+bool DirectoryReplica::apply(DirectoryTopic topic, const DirectoryRecord& record)
+{
+    const auto index = static_cast<std::size_t>(topic);
+    auto& known = m_topics[index];
+    const auto found = known.find(record.key);
+    if (found != known.end() && record.offset <= found->second.offset)
+        return false;
+    known.insert_or_assign(record.key, Known { record.offset, record.value });
+    m_ends[index] = std::max(m_ends[index], record.offset.next());
+    return true;
+}
+
+std::vector<DirectoryRecord> DirectoryReplica::missingFrom(DirectoryTopic topic, const std::vector<DirectoryRecord>& listing, LogOffset end) const
+{
+    std::set<std::string> listed;
+    for (const auto& record : listing)
+        listed.insert(record.key);
+    std::vector<DirectoryRecord> missing;
+    for (const auto& [key, known] : m_topics[static_cast<std::size_t>(topic)]) {
+        if (known.value && known.offset < end && !listed.contains(key))
+            missing.push_back({ key, std::nullopt, known.offset.next() });
+    }
+    return missing;
+}
+
+std::vector<DirectoryRecord> DirectoryReplica::recordsFrom(DirectoryTopic topic, LogOffset from) const
+{
+    std::vector<DirectoryRecord> records;
+    for (const auto& [key, known] : m_topics[static_cast<std::size_t>(topic)]) {
+        if (known.offset >= from)
+            records.push_back({ key, known.value, known.offset });
+    }
+    std::sort(records.begin(), records.end(), [](const auto& left, const auto& right) { return left.offset < right.offset; });
+    return records;
+}
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/gateway/endpoint_loads.cpp
@@ -0,0 +1,114 @@
+#include "hornbeamgate/gateway/endpoint_loads.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hornbeamgate {
+
+namespace {
+
+    /// Time in which the stated load of other daemons fades to half; some request lifetimes long.
+    constexpr std::chrono::milliseconds kReportHalfLife { 400 };
+    /// Weight of one send in the share of failures; ten sends make most of it.
+    constexpr double kFailureWeight = 0.15;
+    /// Failures in a row after which an endpoint is avoided; single failures are common.
+    constexpr int kFailuresBeforeAvoided = 3;
+    /// First time for which a failing endpoint is avoided, doubled with each further failure.
+    constexpr std::chrono::milliseconds kFirstAvoidance { 500 };
+    /// Longest avoidance; a recovered endpoint gets work again after at most this time.
+    constexpr std::chrono::milliseconds kLongestAvoidance { 4000 };
+
+} // namespace
+
+void EndpointLoads::sent(const EndpointId& id, std::uint64_t number, MonotonicTime now)
+{
+    m_endpoints[id].unanswered.emplace(number, now);
+}
+
+void EndpointLoads::finished(const EndpointId& id, std::uint64_t number, SendOutcome outcome, MonotonicTime now)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end())
+        return;
+    auto& state = found->second;
+    state.unanswered.erase(number);
+    if (outcome == SendOutcome::Abandoned || outcome == SendOutcome::Shed)
+        return;
+    const bool isFailure = outcome == SendOutcome::Failed;
+    state.failureShare += kFailureWeight * ((isFailure ? 1.0 : 0.0) - state.failureShare);
+    if (isFailure)
+        noteFailure(state, now);
+    else
+        state.failuresInRow = 0;
+}
+
+void EndpointLoads::reported(const EndpointId& id, const LoadReport& report, MonotonicTime now)
+{
+    auto& state = m_endpoints[id];
+    const double others = report.running + report.waiting - static_cast<double>(state.unanswered.size());
+    state.othersAtReport = std::max(0.0, others);
+    state.reportedAt = now;
+}
+
+void EndpointLoads::unreachable(const EndpointId& id, MonotonicTime now)
+{
+    auto& state = m_endpoints[id];
+    // A refused connection needs no second look.
+    state.failuresInRow = std::max(state.failuresInRow, kFailuresBeforeAvoided - 1);
+    noteFailure(state, now);
+}
+
+void EndpointLoads::pauseUntil(const EndpointId& id, MonotonicTime end)
+{
+    m_endpoints[id].pausedUntil = end;
+}
+
+void EndpointLoads::resume(const EndpointId& id)
+{
+    const auto found = m_endpoints.find(id);
+    if (found != m_endpoints.end())
+        found->second.pausedUntil = {};
+}
+
+double EndpointLoads::load(const EndpointId& id, MonotonicTime now) const
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end())
+        return 0;
+    const auto& state = found->second;
+    const std::chrono::duration<double> age = now - state.reportedAt;
+    const double halves = age / std::chrono::duration<double>(kReportHalfLife);
+    return static_cast<double>(state.unanswered.size()) + state.othersAtReport * std::exp2(-halves);
+}
+
+double EndpointLoads::failureShare(const EndpointId& id) const
+{
+    const auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() ? 0 : found->second.failureShare;
+}
+
+bool EndpointLoads::isAvoided(const EndpointId& id, MonotonicTime now) const
+{
+    const auto found = m_endpoints.find(id);
+    return found != m_endpoints.end() && (now < found->second.avoidedUntil || now < found->second.pausedUntil);
+}
+
+Duration EndpointLoads::oldestUnanswered(const EndpointId& id, MonotonicTime now) const
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end() || found->second.unanswered.empty())
+        return {};
+    // Numbers grow with time, so the first is the oldest.
+    return now - found->second.unanswered.begin()->second;
+}
+
+void EndpointLoads::noteFailure(State& state, MonotonicTime now)
+{
+    ++state.failuresInRow;
+    if (state.failuresInRow < kFailuresBeforeAvoided)
+        return;
+    const int doublings = std::min(state.failuresInRow - kFailuresBeforeAvoided, 3);
+    state.avoidedUntil = now + std::min<Duration>(kFirstAvoidance * (1 << doublings), kLongestAvoidance);
+}
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/gateway/event_relay.cpp
@@ -0,0 +1,81 @@
+#include "hornbeamgate/gateway/event_relay.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace hornbeamgate {
+
+namespace {
+
+    /// Octets of the first whole event in `text` with the blank line that ends it, or 0.
+    std::size_t eventLength(std::string_view text)
+    {
+        bool isLineEmpty = true;
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            if (text[i] == '\r')
+                continue;
+            if (text[i] != '\n') {
+                isLineEmpty = false;
+                continue;
+            }
+            if (isLineEmpty)
+                return i + 1;
+            isLineEmpty = true;
+        }
+        return 0;
+    }
+
+    std::optional<std::uint64_t> eventId(std::string_view event)
+    {
+        constexpr std::string_view kField = "id:";
+        for (std::size_t start = 0; start < event.size();) {
+            const auto end = std::min(event.find('\n', start), event.size());
+            auto line = event.substr(start, end - start);
+            start = end + 1;
+            if (!line.starts_with(kField))
+                continue;
+            line.remove_prefix(kField.size());
+            if (line.starts_with(' '))
+                line.remove_prefix(1);
+            std::uint64_t id = 0;
+            if (std::from_chars(line.data(), line.data() + line.size(), id).ec == std::errc())
+                return id;
+        }
+        return std::nullopt;
+    }
+
+} // namespace
+
+std::optional<std::string> EventRelay::feed(std::string_view octets)
+{
+    m_partial += octets;
+    std::string passed;
+    std::size_t taken = 0;
+    for (;;) {
+        const auto rest = std::string_view(m_partial).substr(taken);
+        const auto length = eventLength(rest);
+        if (length == 0)
+            break;
+        const auto event = rest.substr(0, length);
+        taken += length;
+        if (const auto id = eventId(event)) {
+            if (m_lastId && *id <= *m_lastId)
+                continue;
+            if (m_lastId && *id != *m_lastId + 1)
+                return std::nullopt;
+            m_lastId = id;
+        }
+        passed += event;
+        m_passedEvents = true;
+    }
+    m_partial.erase(0, taken);
+    return passed;
+}
+
+std::string EventRelay::takeRest()
+{
+    return std::exchange(m_partial, {});
+}
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/gateway/peer_report.cpp
@@ -0,0 +1,80 @@
+#include "hornbeamgate/gateway/peer_report.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace hornbeamgate {
+
+using nlohmann::json;
+
+Bytes encodePeerReport(const PeerReport& report)
+{
+    json ends = json::array();
+    for (const auto end : report.directoryEnds)
+        ends.push_back(end.value());
+    json drawn = json::array();
+    for (const auto& [workspace, units] : report.drawn)
+        drawn.push_back(json::array({ workspace.value(), units }));
+    json loading = json::array();
+    for (const auto& engine : report.loading)
+        loading.push_back(json::array({ engine.endpoint.value(), engine.remaining.count() }));
+    return toCbor(json::array({ report.host.value(), report.incarnation.value(), std::move(ends), std::move(drawn), std::move(loading),
+        report.address.ip, report.address.port }));
+}
+
+Result<PeerReport, CodecError> decodePeerReport(BytesView octets)
+{
+    const auto value = fromCbor(octets);
+    if (!value)
+        return failure(value.error());
+    try {
+        PeerReport report;
+        report.host = HostId(value->at(0).get<std::string>());
+        report.incarnation = Incarnation(value->at(1).get<std::uint64_t>());
+        for (std::size_t i = 0; i < kDirectoryTopics; ++i)
+            report.directoryEnds[i] = LogOffset(value->at(2).at(i).get<std::uint64_t>());
+        for (const auto& item : value->at(3))
+            report.drawn[WorkspaceId(item.at(0).get<std::string>())] = item.at(1).get<std::int64_t>();
+        for (const auto& item : value->at(4))
+            report.loading.push_back({ EndpointId(item.at(0).get<std::string>()), std::chrono::milliseconds(item.at(1).get<std::int64_t>()) });
+        report.address = { value->at(5).get<std::string>(), value->at(6).get<std::uint16_t>() };
+        return report;
+    } catch (const json::exception& error) {
+        return failure(CodecError { error.what() });
+    }
+}
+
+Bytes encodeRecords(const std::vector<DirectoryRecord>& records)
+{
+    json list = json::array();
+    for (const auto& record : records) {
+        json item = json::array({ record.key, record.offset.value() });
+        if (record.value)
+            item.push_back(json::binary({ record.value->begin(), record.value->end() }));
+        list.push_back(std::move(item));
+    }
+    return toCbor(list);
+}
+
+Result<std::vector<DirectoryRecord>, CodecError> decodeRecords(BytesView octets)
+{
+    constexpr std::size_t kWithValue = 3;
+    const auto value = fromCbor(octets);
+    if (!value)
+        return failure(value.error());
+    try {
+        std::vector<DirectoryRecord> records;
+        for (const auto& item : *value) {
+            DirectoryRecord record { item.at(0).get<std::string>(), std::nullopt, LogOffset(item.at(1).get<std::uint64_t>()) };
+            if (item.size() == kWithValue) {
+                const auto& bytes = item.at(2).get_binary();
+                record.value = std::string(bytes.begin(), bytes.end());
+            }
+            records.push_back(std::move(record));
+        }
+        return records;
+    } catch (const json::exception& error) {
+        return failure(CodecError { error.what() });
+    }
+}
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/gateway/peer_report.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "hornbeamgate/base/cbor.hpp"
+#include "hornbeamgate/base/socket_address.hpp"
+#include "hornbeamgate/gateway/directory_replica.hpp"
+#include "hornbeamgate/gateway/rate_keeper.hpp"
+
+#include <chrono>
+
+namespace hornbeamgate {
+
+/// Engine that loads weights and should get no requests for a while.
+struct LoadingEngine {
+    EndpointId endpoint;
+    std::chrono::milliseconds remaining {};
+};
+
+/// What a daemon tells the others several times a second.
+struct PeerReport {
+    HostId host;
+    Incarnation incarnation;
+    SocketAddress address; ///< where the sender takes reports
+    std::array<LogOffset, kDirectoryTopics> directoryEnds {};
+    DrawnUnits drawn;
+    std::vector<LoadingEngine> loading;
+};
+
+Bytes encodePeerReport(const PeerReport& report);
+Result<PeerReport, CodecError> decodePeerReport(BytesView octets);
+
+/// Directory records on their way from one daemon to another.
+Bytes encodeRecords(const std::vector<DirectoryRecord>& records);
+Result<std::vector<DirectoryRecord>, CodecError> decodeRecords(BytesView octets);
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/gateway/peer_table.cpp
@@ -0,0 +1,50 @@
+#include "hornbeamgate/gateway/peer_table.hpp"
+
+#include <algorithm>
+
+namespace hornbeamgate {
+
+void PeerTable::add(const HostId& host, const SocketAddress& address, MonotonicTime now)
+{
+    auto [found, isNew] = m_peers.try_emplace(host, Peer { address, now, {} });
+    if (!isNew)
+        found->second.address = address;
+}
+
+bool PeerTable::heard(const HostId& host, MonotonicTime now)
+{
+    const auto found = m_peers.find(host);
+    if (found == m_peers.end())
+        return false;
+    found->second.heardAt = now;
+    return true;
+}
+
+std::size_t PeerTable::heardCount(MonotonicTime now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [now](const auto& entry) { return entry.second.heardAt && now < *entry.second.heardAt + kHeardFor; }));
+}
+
+std::size_t PeerTable::runningCount(MonotonicTime now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [now](const auto& entry) {
+        const auto& peer = entry.second;
+        return peer.heardAt ? now < *peer.heardAt + kCountedFor : now < peer.addedAt + kCountedUnheardFor;
+    }));
+}
+
+std::vector<SocketAddress> PeerTable::addresses() const
+{
+    std::vector<SocketAddress> addresses;
+    for (const auto& [host, peer] : m_peers)
+        addresses.push_back(peer.address);
+    return addresses;
+}
+
+const SocketAddress* PeerTable::addressOf(const HostId& host) const
+{
+    const auto found = m_peers.find(host);
+    return found == m_peers.end() ? nullptr : &found->second.address;
+}
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/gateway/peer_table.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "hornbeamgate/base/ids.hpp"
+#include "hornbeamgate/base/socket_address.hpp"
+#include "hornbeamgate/base/time.hpp"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace hornbeamgate {
+
+/// Other daemons, and which of them are heard.
+///
+/// A daemon that falls silent still counts as running for a while, because it may be cut off and go on serving. One
+/// that was never heard counts only briefly: its registration may be left over from a host that is gone.
+class PeerTable {
+public:
+    /// Reports come several times a second, so this is well over the loss of a few.
+    static constexpr std::chrono::milliseconds kHeardFor { 1500 };
+    /// Longer than a partition usually lasts.
+    static constexpr std::chrono::milliseconds kCountedFor { 12000 };
+    /// A daemon that runs is heard within a second of its registration.
+    static constexpr std::chrono::milliseconds kCountedUnheardFor { 4000 };
+
+    void add(const HostId& host, const SocketAddress& address, MonotonicTime now);
+    void remove(const HostId& host) { m_peers.erase(host); }
+    /// Notes a report. False when the host is not registered.
+    bool heard(const HostId& host, MonotonicTime now);
+
+    std::size_t heardCount(MonotonicTime now) const;
+    /// Daemons that may be running, heard ones included.
+    std::size_t runningCount(MonotonicTime now) const;
+    std::vector<SocketAddress> addresses() const;
+    const SocketAddress* addressOf(const HostId& host) const;
+
+private:
+    struct Peer {
+        SocketAddress address;
+        MonotonicTime addedAt;
+        std::optional<MonotonicTime> heardAt;
+    };
+
+    std::map<HostId, Peer> m_peers;
+};
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/gateway/placement.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "hornbeamgate/gateway/endpoint_loads.hpp"
+#include "hornbeamgate/gateway/endpoint_roster.hpp"
+#include "hornbeamgate/gateway/fleet_config.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hornbeamgate {
+
+/// One part of a prompt. Requests that begin with the same parts share cached blocks.
+struct PromptPart {
+    std::string id;
+    std::int64_t tokens = 0;
+};
+
+/// What a request needs of an endpoint.
+struct PlacementDemand {
+    ServiceId service;
+    std::vector<PromptPart> prompt; ///< in order; the last part belongs to this request alone
+    std::string cacheDomain; ///< requests of different domains share no blocks
+    std::optional<ModelId> model;
+    WeightsVersion newestWeights; ///< of the model
+    std::set<EndpointId> tried; ///< endpoints that the request was sent to
+    Duration timeLeft {};
+};
+
+/// Where this daemon stands, which decides what reaching an endpoint costs.
+struct PlaceOfDaemon {
+    DataCenterId dataCenter;
+    RegionId region;
+    std::map<DataCenterId, RegionId> regions;
+};
+
+/// Why no endpoint was chosen.
+enum class PlacementRefusal {
+    NoEndpoint, ///< the service has no endpoint that is up
+    AllBusy, ///< no endpoint would answer in the time left
+};
+
+struct Placement {
+    std::optional<EndpointId> endpoint;
+    PlacementRefusal refusal = PlacementRefusal::NoEndpoint;
+    std::chrono::milliseconds expectedWait {}; ///< until the first answer of the best endpoint
+};
+
+/// Chooses endpoints by the expected time to the first answer.
+///
+/// A prompt's home is the endpoint that rendezvous hashing gives for its shared parts, the same in every daemon; blocks
+/// are expected there and where this daemon sent the same parts lately. Load moves a request elsewhere as soon as
+/// waiting at the home costs more than reading the prompt again.
+///
+/// Load it answers: long prompts over few prefixes with a hot one, next to many short prompts.
+class Placer {
+public:
+    explicit Placer(PlaceOfDaemon place)
+        : m_place(std::move(place))
+    {
+    }
+
+    Placement choose(const PlacementDemand& demand, const EndpointRoster& roster, const EndpointLoads& loads, MonotonicTime now);
+
+    /// Learns how long answers of a service take to begin, for estimates of waiting.
+    void noteServiceTime(const ServiceId& service, Duration time);
+
+private:
+    struct Shared {
+        std::uint64_t key = 0;
+        std::int64_t tokens = 0;
+    };
+    static Shared sharedPrefix(const PlacementDemand& demand);
+    Duration travelCost(const EndpointEntry& entry) const;
+    Duration waitingTime(const EndpointEntry& entry, const EndpointLoads& loads, MonotonicTime now) const;
+    bool holdsBlocks(const EndpointId& id, std::uint64_t key, MonotonicTime now) const;
+
+    PlaceOfDaemon m_place;
+    std::map<ServiceId, Duration> m_serviceTimes;
+    std::map<std::pair<EndpointId, std::uint64_t>, MonotonicTime> m_sentLately;
+    MonotonicTime m_nextCleaning {};
+};
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/gateway/weights_duty.cpp
@@ -0,0 +1,85 @@
+#include "hornbeamgate/gateway/weights_duty.hpp"
+
+#include <algorithm>
+
+namespace hornbeamgate {
+
+namespace {
+
+    /// One engine in this many loads at once; more slow each other down and leave too few to serve.
+    constexpr std::size_t kEnginesPerLoad = 5;
+    /// Added to the lease for the time that an order takes to its engine.
+    constexpr std::chrono::milliseconds kOrderTravel { 500 };
+
+} // namespace
+
+void WeightsDuty::confirm(FencingToken token, MonotonicTime end, MonotonicTime now)
+{
+    const bool isTakenOver = !m_token || now >= m_heldUntil;
+    if (isTakenOver)
+        m_mayStart = now + m_lease + kOrderTravel;
+    m_token = token;
+    m_heldUntil = end;
+}
+
+void WeightsDuty::lose()
+{
+    m_token.reset();
+}
+
+void WeightsDuty::setTarget(const ModelId& model, WeightsVersion version)
+{
+    auto& target = m_targets[model];
+    if (target < version) {
+        target = version;
+        m_retryAt.clear();
+    }
+}
+
+bool WeightsDuty::isHeld(MonotonicTime now) const
+{
+    return m_token && m_mayStart <= now && now < m_heldUntil;
+}
+
+std::vector<WeightsOrder> WeightsDuty::takeDue(const EndpointRoster& roster, MonotonicTime now)
+{
+    std::vector<WeightsOrder> due;
+    if (!isHeld(now))
+        return due;
+    for (const auto& [model, target] : m_targets) {
+        std::size_t engines = 0;
+        std::vector<const EndpointEntry*> behind;
+        for (const auto& [id, entry] : roster.entries()) {
+            const auto known = entry.weights.find(model);
+            if (known == entry.weights.end())
+                continue;
+            ++engines;
+            if (known->second < target && !entry.isLeaving)
+                behind.push_back(&entry);
+        }
+        for (const auto* entry : behind) {
+            if (m_inProgress.size() >= mostAtOnce(engines))
+                break;
+            const auto retry = m_retryAt.find(entry->id);
+            if (m_inProgress.contains(entry->id) || (retry != m_retryAt.end() && now < retry->second))
+                continue;
+            const WeightsOrder order { entry->id, model, target, *m_token };
+            m_inProgress.emplace(entry->id, order);
+            due.push_back(order);
+        }
+    }
+    return due;
+}
+
+void WeightsDuty::settle(const EndpointId& endpoint, MonotonicTime retryAt)
+{
+    m_inProgress.erase(endpoint);
+    m_retryAt[endpoint] = retryAt;
+}
+
+std::size_t WeightsDuty::mostAtOnce(std::size_t engines)
+{
+    return std::max<std::size_t>(1, engines / kEnginesPerLoad);
+}
+
+} // namespace hornbeamgate
--- a/src/hornbeamgate/observability/log.cpp
+++ b/src/hornbeamgate/observability/log.cpp
@@ -41,6 +41,15 @@
         EventEntry { LogEvent::KeysUnverified, "keys_unverified", LogLevel::Warning },
         EventEntry { LogEvent::BudgetClaimed, "budget_claimed", LogLevel::Debug },
         EventEntry { LogEvent::BudgetMoved, "budget_moved", LogLevel::Debug },
+        EventEntry { LogEvent::SettingsReloaded, "settings_reloaded", LogLevel::Info },
+        EventEntry { LogEvent::DependencyLost, "dependency_lost", LogLevel::Warning },
+        EventEntry { LogEvent::DependencyRegained, "dependency_regained", LogLevel::Info },
+        EventEntry { LogEvent::RecordUnreadable, "record_unreadable", LogLevel::Warning },
+        EventEntry { LogEvent::EndpointsChanged, "endpoints_changed", LogLevel::Info },
+        EventEntry { LogEvent::WeightsNamed, "weights_named", LogLevel::Info },
+        EventEntry { LogEvent::WeightsOrdered, "weights_ordered", LogLevel::Info },
+        EventEntry { LogEvent::DutyChanged, "duty_changed", LogLevel::Info },
+        EventEntry { LogEvent::LinesDropped, "lines_dropped", LogLevel::Warning },
     };
     static_assert(kEvents.size() == static_cast<std::size_t>(LogEvent::EventCount));
 
--- a/src/hornbeamgate/observability/log.hpp
+++ b/src/hornbeamgate/observability/log.hpp
@@ -34,6 +34,15 @@
     KeysUnverified,
     BudgetClaimed,
     BudgetMoved,
+    SettingsReloaded,
+    DependencyLost,
+    DependencyRegained,
+    RecordUnreadable,
+    EndpointsChanged,
+    WeightsNamed,
+    WeightsOrdered,
+    DutyChanged,
+    LinesDropped,
     EventCount,
 };
 
--- a/src/hornbeamgate/routing/load_grants.hpp
+++ b/src/hornbeamgate/routing/load_grants.hpp
@@ -5,7 +5,7 @@
 #include "hornbeamgate/base/ids.hpp"
 #include "hornbeamgate/base/result.hpp"
 #include "hornbeamgate/base/time.hpp"
-#include "hornbeamgate/platform/log_events.hpp"
+#include "hornbeamgate/event_log/log_events.hpp"
 #include "hornbeamgate/routing/router.hpp"
 
 #include <cstddef>
--- a/src/hornbeamgate/routing/weights_plan.hpp
+++ b/src/hornbeamgate/routing/weights_plan.hpp
@@ -2,7 +2,7 @@
 
 #include "hornbeamgate/base/result.hpp"
 #include "hornbeamgate/base/time.hpp"
-#include "hornbeamgate/platform/log_events.hpp"
+#include "hornbeamgate/event_log/log_events.hpp"
 #include "hornbeamgate/routing/load_grants.hpp"
 
 #include <optional>
--- a/src/hornbeamgate/runtime/daemon_main.cpp
+++ b/src/hornbeamgate/runtime/daemon_main.cpp
@@ -57,13 +57,14 @@
         exitCode = ExitCode::UsageError;
         return std::nullopt;
     }
-    auto text = readSettingsFile(values["settings"].as<std::string>());
+    const auto path = values["settings"].as<std::string>();
+    auto text = readSettingsFile(path);
     if (!text) {
         printSettingsFaults({ text.error() });
         exitCode = ExitCode::SettingsError;
         return std::nullopt;
     }
-    return DaemonArguments { std::move(*text), values.count("check-settings") > 0 };
+    return DaemonArguments { path, std::move(*text), values.count("check-settings") > 0 };
 }
 
 void printSettingsFaults(const std::vector<SettingsFault>& faults)
--- a/src/hornbeamgate/runtime/daemon_main.hpp
+++ b/src/hornbeamgate/runtime/daemon_main.hpp
@@ -20,6 +20,7 @@
 
 /// Command line of a daemon.
 struct DaemonArguments {
+    std::string settingsPath;
     std::string settingsText; ///< content of the settings file
     bool checkOnly = false;
 };
@@ -48,9 +49,10 @@
     std::string_view description;
 };
 
-/// Whole life of a daemon program, from its command line to its exit code. `parse` checks the text of the settings.
-template <typename Daemon, typename Settings>
-int runDaemon(int argc, char** argv, const DaemonProgram& program, Result<Settings, std::vector<SettingsFault>> (*parse)(std::string_view))
+/// Whole life of a daemon program, from its command line to its exit code. `parse` checks the text of the settings and
+/// `create` makes the daemon, or gives the reason why it cannot start.
+template <typename Settings, typename Create>
+int runDaemon(int argc, char** argv, const DaemonProgram& program, Result<Settings, std::vector<SettingsFault>> (*parse)(std::string_view), Create create)
 {
     auto exitCode = ExitCode::Success;
     const auto arguments = readDaemonArguments(argc, argv, program.description, exitCode);
@@ -64,7 +66,7 @@
     if (arguments->checkOnly)
         return static_cast<int>(ExitCode::Success);
     startLogging(program.name, settings->common.logLevel);
-    auto daemon = Daemon::create(*settings);
+    auto daemon = create(*settings, *arguments);
     if (!daemon) {
         printStartFailure(daemon.error());
         return static_cast<int>(ExitCode::StartFailed);
--- /dev/null
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -0,0 +1,253 @@
+#include "hornbeamgate/runtime/gateway/directory_task.hpp"
+
+#include "hornbeamgate/observability/log.hpp"
+#include "hornbeamgate/runtime/gateway/suspension.hpp"
+#include "hornbeamgate/runtime/main_loop.hpp"
+
+#include <algorithm>
+
+namespace hornbeamgate {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    struct TopicSchedule {
+        std::string_view name;
+        milliseconds wait; ///< how long the store holds a call until something changes
+        milliseconds pause; ///< between two calls
+        milliseconds staleAfter; ///< without an answer, other daemons may know more
+    };
+
+    /// Endpoints register again all the time, so waiting for a change would make a call of each; a leaving endpoint must
+    /// be known within three seconds, so half a second is well within it. The others change rarely.
+    constexpr std::array<TopicSchedule, kDirectoryTopics> kSchedules { {
+        { "operators", milliseconds(1500), milliseconds(0), milliseconds(2000) },
+        { "endpoints", milliseconds(0), milliseconds(500), milliseconds(1200) },
+        { "daemons", milliseconds(10000), milliseconds(200), milliseconds(12000) },
+    } };
+    static_assert(kSchedules.size() == kDirectoryTopics);
+
+    /// Pause after the first failed call, doubled up to the longest one, which bounds the calls to a store that is down.
+    constexpr milliseconds kFirstRetryPause { 200 };
+    constexpr milliseconds kLongestRetryPause { 800 };
+    constexpr int kMostDoublings = 2;
+    /// Failed calls after which the store counts as lost for the log.
+    constexpr int kFailuresUntilLost = 2;
+    /// A member of the duty group that is silent for this long loses its duties.
+    constexpr milliseconds kDutyLifetime { 3000 };
+    constexpr milliseconds kDutyInterval { 1000 };
+    /// Taken off the lifetime of a duty, for orders that are on their way.
+    constexpr milliseconds kDutyMargin { 500 };
+    constexpr milliseconds kAnnounceRetry { 500 };
+    constexpr milliseconds kExpiryInterval { 250 };
+
+    const TopicSchedule& scheduleOf(DirectoryTopic topic)
+    {
+        return kSchedules[static_cast<std::size_t>(topic)];
+    }
+
+} // namespace
+
+DirectoryTask::DirectoryTask(GatewayState& state, Directory& directory, DaemonEntry self)
+    : m_state(state)
+    , m_directory(directory)
+    , m_self(std::move(self))
+    , m_announceTimer([this] { announce(); })
+    , m_dutyTimer([this] { holdDuty(); })
+    , m_expiryTimer([this] { expireEndpoints(); })
+{
+    for (std::size_t i = 0; i < kDirectoryTopics; ++i)
+        m_followers[i] = std::make_unique<Follower>([this, topic = static_cast<DirectoryTopic>(i)] { poll(topic); });
+}
+
+void DirectoryTask::start()
+{
+    for (std::size_t i = 0; i < kDirectoryTopics; ++i)
+        poll(static_cast<DirectoryTopic>(i));
+    announce();
+    holdDuty();
+    m_expiryTimer.set(MonotonicClock::now() + kExpiryInterval);
+}
+
+void DirectoryTask::poll(DirectoryTopic topic)
+{
+    const auto& current = follower(topic);
+    if (!current.hasListing) {
+        m_directory.list(topic, [this, topic](const Result<DirectoryPage, DirectoryFault>& page) { onPage(topic, true, page); });
+        return;
+    }
+    m_directory.follow(topic, current.next, scheduleOf(topic).wait, [this, topic](const Result<DirectoryPage, DirectoryFault>& page) { onPage(topic, false, page); });
+}
+
+void DirectoryTask::onPage(DirectoryTopic topic, bool isListing, const Result<DirectoryPage, DirectoryFault>& page)
+{
+    auto& current = follower(topic);
+    const auto& schedule = scheduleOf(topic);
+    const auto now = MonotonicClock::now();
+    if (!page) {
+        if (page.error().isHistoryLost) {
+            current.hasListing = false;
+            poll(topic);
+            return;
+        }
+        if (++current.failuresInRow == kFailuresUntilLost)
+            logEvent(LogEvent::DependencyLost, { { "dependency", "store" }, { "topic", schedule.name }, { "reason", page.error().detail } });
+        const int doublings = std::min(current.failuresInRow - 1, kMostDoublings);
+        const auto pause = std::min(kFirstRetryPause * (1 << doublings), kLongestRetryPause);
+        // Daemons that lost the store together must not return together.
+        const auto spread = static_cast<std::int64_t>(newUniqueNumber() % static_cast<std::uint64_t>(pause.count()));
+        current.timer.set(now + pause + milliseconds(spread));
+        return;
+    }
+    if (current.failuresInRow >= kFailuresUntilLost) {
+        logEvent(LogEvent::DependencyRegained, { { "dependency", "store" }, { "topic", schedule.name }, { "failed_calls", current.failuresInRow } });
+        if (topic == DirectoryTopic::Endpoints)
+            m_state.roster.directoryReturned(now);
+    }
+    current.failuresInRow = 0;
+    current.answeredAt = now;
+    for (const auto& record : page->records)
+        apply(topic, record);
+    if (isListing) {
+        for (const auto& record : m_replica.missingFrom(topic, page->records, page->next))
+            apply(topic, record);
+    }
+    current.hasListing = true;
+    current.next = std::max(current.next, page->next);
+    current.timer.set(now + schedule.pause);
+}
+
+void DirectoryTask::takeFromPeer(DirectoryTopic topic, const std::vector<DirectoryRecord>& records)
+{
+    for (const auto& record : records)
+        apply(topic, record);
+}
+
+bool DirectoryTask::isStale(DirectoryTopic topic, MonotonicTime now) const
+{
+    const auto& current = *m_followers[static_cast<std::size_t>(topic)];
+    return !current.answeredAt || now > *current.answeredAt + scheduleOf(topic).staleAfter;
+}
+
+bool DirectoryTask::isComplete() const
+{
+    return m_state.routes && !m_state.roster.entries().empty();
+}
+
+void DirectoryTask::apply(DirectoryTopic topic, const DirectoryRecord& record)
+{
+    if (!m_replica.apply(topic, record))
+        return;
+    if (!record.value) {
+        withdrawRecord(topic, record.key);
+        return;
+    }
+    auto item = m_directory.decode(topic, record);
+    if (!item) {
+        logEvent(LogEvent::RecordUnreadable, { { "topic", scheduleOf(topic).name }, { "key", record.key }, { "offset", record.offset.value() }, { "reason", item.error().detail } });
+        // What cannot be read names no endpoint and no daemon to use.
+        withdrawRecord(topic, record.key);
+        return;
+    }
+    std::visit([this](auto& value) { put(std::move(value)); }, *item);
+}
+
+void DirectoryTask::withdrawRecord(DirectoryTopic topic, const std::string& key)
+{
+    const auto now = MonotonicClock::now();
+    if (topic == DirectoryTopic::Endpoints) {
+        const EndpointId id(key);
+        if (m_state.roster.withdraw(id, now)) {
+            m_state.loads.forget(id);
+            logEvent(LogEvent::EndpointsChanged, { { "endpoint", key }, { "state", "gone" } });
+        }
+        return;
+    }
+    if (topic == DirectoryTopic::Daemons)
+        m_state.peers.remove(HostId(key));
+}
+
+void DirectoryTask::put(FleetConfig config)
+{
+    if (m_state.routes && config.version <= m_state.routes->config().version)
+        return;
+    logEvent(LogEvent::ConfigApplied, { { "version", config.version.value() }, { "routes", config.routes.size() }, { "workspaces", config.workspaces.size() } });
+    m_state.rates.setLimits(config.workspaces, MonotonicClock::now());
+    m_state.routes = std::make_shared<const RouteTable>(std::move(config));
+}
+
+void DirectoryTask::put(const WeightsTarget& target)
+{
+    logEvent(LogEvent::WeightsNamed, { { "model", target.model.value() }, { "version", target.version.value() } });
+    m_state.duty.setTarget(target.model, target.version);
+}
+
+void DirectoryTask::put(EndpointEntry entry)
+{
+    const auto* known = m_state.roster.find(entry.id);
+    const bool isChange = !known || known->isLeaving != entry.isLeaving || known->incarnation != entry.incarnation;
+    if (known && known->incarnation != entry.incarnation)
+        m_state.loads.forget(entry.id);
+    if (known && known->weights != entry.weights)
+        m_state.loads.resume(entry.id);
+    if (isChange)
+        logEvent(LogEvent::EndpointsChanged, { { "endpoint", entry.id.value() }, { "state", entry.isLeaving ? "leaving" : "up" }, { "address", entry.address.text() } });
+    m_state.roster.put(std::move(entry));
+}
+
+void DirectoryTask::put(const DaemonEntry& entry)
+{
+    if (entry.host == m_self.host)
+        return;
+    m_state.peers.add(entry.host, entry.peers, MonotonicClock::now());
+}
+
+void DirectoryTask::announce()
+{
+    m_directory.announce(m_self, false, [this](const Result<LogOffset, DirectoryFault>& result) {
+        if (!result)
+            m_announceTimer.set(MonotonicClock::now() + kAnnounceRetry);
+    });
+}
+
+void DirectoryTask::withdraw(std::function<void()> done)
+{
+    m_announceTimer.clear();
+    m_dutyTimer.clear();
+    m_state.duty.lose();
+    m_directory.announce(m_self, true, [done = std::move(done)](const Result<LogOffset, DirectoryFault>&) { done(); });
+}
+
+void DirectoryTask::holdDuty()
+{
+    const auto asked = MonotonicClock::now();
+    const auto suspended = suspendedTime();
+    m_directory.holdDuty(m_self.host, kDutyLifetime, [this, asked, suspended](const Result<DutyGrant, DirectoryFault>& grant) {
+        const auto now = MonotonicClock::now();
+        m_dutyTimer.set(std::max(asked + kDutyInterval, now));
+        if (!grant)
+            return;
+        if (grant->isHolder != m_isDutyHolder) {
+            m_isDutyHolder = grant->isHolder;
+            logEvent(LogEvent::DutyChanged, { { "holder", m_isDutyHolder ? 1 : 0 }, { "generation", grant->generation.value() } });
+        }
+        if (grant->isHolder)
+            m_state.duty.confirm(grant->generation, asked + kDutyLifetime - kDutyMargin - (suspendedTime() - suspended), now);
+        else
+            m_state.duty.lose();
+    });
+}
+
+void DirectoryTask::expireEndpoints()
+{
+    const auto now = MonotonicClock::now();
+    for (const auto& id : m_state.roster.expire(now)) {
+        m_state.loads.forget(id);
+        logEvent(LogEvent::EndpointsChanged, { { "endpoint", id.value() }, { "state", "gone" } });
+    }
+    m_state.rates.setFleet(m_state.peers.heardCount(now) + 1, m_state.peers.runningCount(now) + 1, now);
+    m_expiryTimer.set(now + kExpiryInterval);
+}
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/gateway/directory_task.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "hornbeamgate/runtime/gateway/directory.hpp"
+#include "hornbeamgate/runtime/gateway/gateway_state.hpp"
+
+#include <array>
+
+namespace hornbeamgate {
+
+/// Keeps this daemon's copy of the directory up to date and puts what it says in force.
+class DirectoryTask {
+public:
+    DirectoryTask(GatewayState& state, Directory& directory, DaemonEntry self);
+
+    void start();
+    /// Withdraws this daemon's registration; `done` comes when the store has it, or has not answered.
+    void withdraw(std::function<void()> done);
+
+    /// Takes records that another daemon passed on.
+    void takeFromPeer(DirectoryTopic topic, const std::vector<DirectoryRecord>& records);
+    /// True when the store has not answered about `topic` lately, so that other daemons may know more.
+    bool isStale(DirectoryTopic topic, MonotonicTime now) const;
+    const DirectoryReplica& replica() const { return m_replica; }
+    bool isComplete() const;
+
+private:
+    struct Follower {
+        explicit Follower(std::function<void()> poll)
+            : timer(std::move(poll))
+        {
+        }
+        Timer timer;
+        bool hasListing = false;
+        LogOffset next;
+        int failuresInRow = 0;
+        std::optional<MonotonicTime> answeredAt;
+    };
+
+    void poll(DirectoryTopic topic);
+    void onPage(DirectoryTopic topic, bool isListing, const Result<DirectoryPage, DirectoryFault>& page);
+    void apply(DirectoryTopic topic, const DirectoryRecord& record);
+    void withdrawRecord(DirectoryTopic topic, const std::string& key);
+    void put(FleetConfig config);
+    void put(const WeightsTarget& target);
+    void put(EndpointEntry entry);
+    void put(const DaemonEntry& entry);
+    void announce();
+    void holdDuty();
+    void expireEndpoints();
+    Follower& follower(DirectoryTopic topic) { return *m_followers[static_cast<std::size_t>(topic)]; }
+
+    GatewayState& m_state;
+    Directory& m_directory;
+    DaemonEntry m_self;
+    DirectoryReplica m_replica;
+    std::array<std::unique_ptr<Follower>, kDirectoryTopics> m_followers;
+    std::map<std::string, EndpointId> m_endpointsByKey;
+    std::map<std::string, HostId> m_daemonsByKey;
+    Timer m_announceTimer;
+    Timer m_dutyTimer;
+    Timer m_expiryTimer;
+    bool m_isDutyHolder = false;
+};
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
@@ -0,0 +1,198 @@
+#include "hornbeamgate/runtime/gateway/gateway_daemon.hpp"
+
+#include "hornbeamgate/observability/log.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+
+namespace hornbeamgate {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr int kOk = 200;
+    constexpr int kNotFound = 404;
+    constexpr int kUnavailable = 503;
+    /// The balancer asks once a second and needs two refusals, so new connections come for so long after SIGTERM.
+    constexpr milliseconds kBalancerNotices { 3000 };
+    constexpr milliseconds kDrainCheckInterval { 50 };
+    /// Longest wait for the store when the registration is withdrawn at the end.
+    constexpr milliseconds kLeaveTimeout { 300 };
+    /// The settings file may change without a signal.
+    constexpr milliseconds kSettingsInterval { 2000 };
+
+} // namespace
+
+Result<std::unique_ptr<GatewayDaemon>, std::string> GatewayDaemon::create(const GatewaySettings& settings, GatewayAdapters adapters, std::string settingsPath)
+{
+    auto daemon = std::unique_ptr<GatewayDaemon>(new GatewayDaemon(settings, std::move(adapters), std::move(settingsPath)));
+    if (auto listening = daemon->listen(); !listening)
+        return failure(listening.error().detail);
+    return daemon;
+}
+
+GatewayDaemon::GatewayDaemon(const GatewaySettings& settings, GatewayAdapters adapters, std::string settingsPath)
+    : m_settings(settings)
+    , m_adapters(std::move(adapters))
+    , m_settingsPath(std::move(settingsPath))
+    , m_state(m_settings, *m_adapters.wire)
+    , m_self { settings.common.host, newIncarnation(), settings.common.link }
+    , m_directory(m_state, *m_adapters.directory, m_self)
+    , m_drainTimer([this] { closeWhenDrained(); })
+    , m_settingsTimer([this] { watchSettings(); })
+{
+}
+
+Result<void, NetError> GatewayDaemon::listen()
+{
+    auto callers = HttpAcceptor::create(m_settings.callers,
+        { [this](HttpServerConnection& connection, HttpRequestMessage message) -> std::unique_ptr<HttpRequestHandler> {
+             return std::make_unique<GatewayRequest>(m_state, connection, std::move(message));
+         },
+            [this] { return callerLimits(); }, [this] { return m_state.isDraining; } });
+    if (!callers)
+        return failure(callers.error());
+    m_callers = std::move(*callers);
+    auto readiness = HttpAcceptor::create(m_settings.readiness, { answerAtOnce([this](const HttpRequestMessage& message) -> HttpSimpleAnswer {
+                                                                     if (!m_adapters.wire->isReadinessCheck(message.head))
+                                                                         return { kNotFound, {}, {} };
+                                                                     return { isReady() ? kOk : kUnavailable, {}, {} };
+                                                                 }),
+                                                                    {}, {} });
+    if (!readiness)
+        return failure(readiness.error());
+    m_readiness = std::move(*readiness);
+    auto admin = HttpAcceptor::create(m_settings.common.admin, { answerAtOnce([this](const HttpRequestMessage& message) { return adminAnswer(message); }), {}, {} });
+    if (!admin)
+        return failure(admin.error());
+    m_admin = std::move(*admin);
+    auto peers = PeerTask::create(m_state, m_directory, m_self);
+    if (!peers)
+        return failure(peers.error());
+    m_peers = std::move(*peers);
+    m_weights = std::make_unique<WeightsTask>(m_state, *m_adapters.engines, *m_peers, m_self.host);
+    return {};
+}
+
+std::vector<ListeningAddress> GatewayDaemon::addresses() const
+{
+    return { { "callers", m_callers->address() }, { "readiness", m_readiness->address() }, { "admin", m_admin->address() } };
+}
+
+void GatewayDaemon::run()
+{
+    m_directory.start();
+    m_peers->start();
+    m_weights->start();
+    watchSettings();
+    const auto onReload = watchSignal(SIGHUP, [this] { reloadSettings(); });
+    m_loop.run([this] { drain(); });
+}
+
+bool GatewayDaemon::isReady() const
+{
+    return !m_state.isDraining && m_directory.isComplete();
+}
+
+HttpServerLimits GatewayDaemon::callerLimits() const
+{
+    if (!m_state.routes)
+        return {};
+    const auto& limits = m_state.routes->config().limits;
+    return { limits.maxHeadBytes, limits.maxBodyBytes, limits.headTimeout, limits.idleTimeout };
+}
+
+void GatewayDaemon::drain()
+{
+    if (m_state.isDraining)
+        return;
+    m_state.isDraining = true;
+    m_drainBegan = MonotonicClock::now();
+    logEvent(LogEvent::DrainStarted, { { "requests", m_callers->busyConnections() } });
+    m_drainTimer.set(m_drainBegan + kBalancerNotices);
+}
+
+void GatewayDaemon::closeWhenDrained()
+{
+    const auto now = MonotonicClock::now();
+    m_callers->closeIdleConnections();
+    if (m_callers->busyConnections() > 0 && now < m_drainBegan + m_settings.common.drainTimeout) {
+        m_drainTimer.set(now + kDrainCheckInterval);
+        return;
+    }
+    leave();
+}
+
+void GatewayDaemon::leave()
+{
+    const auto hasWithdrawn = std::make_shared<bool>(false);
+    m_directory.withdraw([hasWithdrawn] { *hasWithdrawn = true; });
+    m_loop.quitWhen([hasWithdrawn] { return *hasWithdrawn; }, MonotonicClock::now() + kLeaveTimeout);
+}
+
+void GatewayDaemon::watchSettings()
+{
+    m_settingsTimer.set(MonotonicClock::now() + kSettingsInterval);
+    auto text = readSettingsFile(m_settingsPath);
+    if (!text)
+        return;
+    const bool isFirst = m_settingsText.empty();
+    if (*text == m_settingsText)
+        return;
+    m_settingsText = std::move(*text);
+    if (!isFirst)
+        reloadSettings();
+}
+
+void GatewayDaemon::reloadSettings()
+{
+    const auto text = readSettingsFile(m_settingsPath);
+    if (!text) {
+        logEvent(LogEvent::SettingsReloaded, { { "outcome", "kept" }, { "reason", text.error().detail } });
+        return;
+    }
+    auto settings = parseGatewaySettings(*text);
+    if (!settings) {
+        const auto& fault = settings.error().front();
+        logEvent(LogEvent::SettingsReloaded, { { "outcome", "kept" }, { "reason", fault.path + ' ' + fault.detail } });
+        return;
+    }
+    // Addresses stay as they are bound; the rest is in force from here on.
+    settings->common = m_settings.common;
+    settings->callers = m_settings.callers;
+    settings->readiness = m_settings.readiness;
+    m_settings = std::move(*settings);
+    m_settingsText = *text;
+    m_state.allowances.clear();
+    logEvent(LogEvent::SettingsReloaded, { { "outcome", "applied" } });
+}
+
+HttpSimpleAnswer GatewayDaemon::adminAnswer(const HttpRequestMessage& message) const
+{
+    if (message.head.target == "/metrics")
+        return { kOk, "text/plain; version=0.0.4", m_state.metrics.page() };
+    if (message.head.target == "/dump")
+        return { kOk, "application/json", dump() };
+    return { kNotFound, {}, {} };
+}
+
+std::string GatewayDaemon::dump() const
+{
+    using nlohmann::json;
+    const auto now = MonotonicClock::now();
+    json endpoints = json::array();
+    for (const auto& [id, entry] : m_state.roster.entries()) {
+        endpoints.push_back({ { "id", id.value() }, { "service", entry.service.value() }, { "address", entry.address.text() }, { "leaving", entry.isLeaving },
+            { "load", m_state.loads.load(id, now) }, { "failure_share", m_state.loads.failureShare(id) }, { "avoided", m_state.loads.isAvoided(id, now) } });
+    }
+    const json state { { "host", m_self.host.value() }, { "config_version", m_state.routes ? m_state.routes->config().version.value() : 0 },
+        { "draining", m_state.isDraining }, { "holds_duty", m_state.duty.isHeld(now) }, { "peers_heard", m_state.peers.heardCount(now) },
+        { "peers_running", m_state.peers.runningCount(now) }, { "caller_connections", m_callers->connections() },
+        { "connections_opened", m_state.endpointConnections.opened() }, { "connections_reused", m_state.endpointConnections.reused() },
+        { "endpoints", std::move(endpoints) } };
+    return state.dump(2) + '\n';
+}
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/gateway/gateway_daemon.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "hornbeamgate/runtime/daemon_main.hpp"
+#include "hornbeamgate/runtime/gateway/directory_task.hpp"
+#include "hornbeamgate/runtime/gateway/gateway_request.hpp"
+#include "hornbeamgate/runtime/gateway/peer_task.hpp"
+#include "hornbeamgate/runtime/gateway/weights_task.hpp"
+#include "hornbeamgate/runtime/main_loop.hpp"
+#include "hornbeamgate/runtime/net/http_acceptor.hpp"
+
+namespace hornbeamgate {
+
+/// What differs between the places where a gateway runs.
+struct GatewayAdapters {
+    std::unique_ptr<WireFormat> wire;
+    std::unique_ptr<EngineControl> engines;
+    std::unique_ptr<Directory> directory;
+};
+
+/// The daemon in front of engines and services: takes callers' requests and sends them to endpoints.
+class GatewayDaemon {
+public:
+    static Result<std::unique_ptr<GatewayDaemon>, std::string> create(const GatewaySettings& settings, GatewayAdapters adapters, std::string settingsPath);
+
+    std::vector<ListeningAddress> addresses() const;
+    void run();
+
+private:
+    GatewayDaemon(const GatewaySettings& settings, GatewayAdapters adapters, std::string settingsPath);
+
+    Result<void, NetError> listen();
+    void drain();
+    void closeWhenDrained();
+    void leave();
+    void reloadSettings();
+    void watchSettings();
+    bool isReady() const;
+    HttpServerLimits callerLimits() const;
+    HttpSimpleAnswer adminAnswer(const HttpRequestMessage& message) const;
+    std::string dump() const;
+
+    GatewaySettings m_settings;
+    GatewayAdapters m_adapters;
+    std::string m_settingsPath;
+    std::string m_settingsText;
+    GatewayState m_state;
+    DaemonEntry m_self;
+    MainLoop m_loop;
+    DirectoryTask m_directory;
+    std::unique_ptr<PeerTask> m_peers;
+    std::unique_ptr<WeightsTask> m_weights;
+    std::unique_ptr<HttpAcceptor> m_callers;
+    std::unique_ptr<HttpAcceptor> m_readiness;
+    std::unique_ptr<HttpAcceptor> m_admin;
+    MonotonicTime m_drainBegan {};
+    Timer m_drainTimer;
+    Timer m_settingsTimer;
+};
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/gateway/gateway_state.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "hornbeamgate/gateway/endpoint_loads.hpp"
+#include "hornbeamgate/gateway/endpoint_roster.hpp"
+#include "hornbeamgate/gateway/peer_table.hpp"
+#include "hornbeamgate/gateway/placement.hpp"
+#include "hornbeamgate/gateway/rate_keeper.hpp"
+#include "hornbeamgate/gateway/retry_allowance.hpp"
+#include "hornbeamgate/gateway/route_table.hpp"
+#include "hornbeamgate/gateway/weights_duty.hpp"
+#include "hornbeamgate/observability/metrics.hpp"
+#include "hornbeamgate/runtime/gateway/wire_format.hpp"
+#include "hornbeamgate/runtime/net/http_connection_pool.hpp"
+#include "hornbeamgate/settings/gateway_settings.hpp"
+
+#include <memory>
+
+namespace hornbeamgate {
+
+/// What the tasks of a gateway daemon share. They all run on one main loop.
+struct GatewayState {
+    GatewayState(const GatewaySettings& configured, const WireFormat& format)
+        : settings(configured)
+        , wire(format)
+        , placer(PlaceOfDaemon { configured.common.dataCenter, configured.common.region, configured.regions })
+        , duty(configured.dutyLease)
+    {
+    }
+
+    /// Repeats of sends to one service.
+    RetryAllowance& allowance(const ServiceId& service)
+    {
+        return allowances.try_emplace(service, settings.retries).first->second;
+    }
+
+    const GatewaySettings& settings;
+    const WireFormat& wire;
+    std::shared_ptr<const RouteTable> routes; ///< null until a configuration is known; shared with requests in progress
+    EndpointRoster roster;
+    EndpointLoads loads;
+    Placer placer;
+    RateKeeper rates;
+    PeerTable peers;
+    WeightsDuty duty;
+    std::map<ServiceId, RetryAllowance> allowances;
+    HttpConnectionPool endpointConnections;
+    Metrics metrics;
+    std::uint64_t sends = 0; ///< numbers the sends to endpoints
+    bool isDraining = false;
+};
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -0,0 +1,161 @@
+#include "hornbeamgate/runtime/gateway/peer_task.hpp"
+
+#include "hornbeamgate/observability/log.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace hornbeamgate {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    /// Shortest pause between two reports; what others draw unseen meanwhile stays far below a burst.
+    constexpr milliseconds kLeastReportInterval { 200 };
+    /// Added for each daemon, so that the messages a daemon handles in a second do not grow with the fleet.
+    constexpr milliseconds kReportIntervalPerPeer { 12 };
+    constexpr milliseconds kMostReportInterval { 1000 };
+    constexpr milliseconds kFetchTimeout { 1000 };
+    constexpr std::string_view kRecordsPath = "/records/";
+    constexpr int kNotFound = 404;
+    constexpr int kOk = 200;
+
+    std::string_view asText(const Bytes& octets)
+    {
+        return { reinterpret_cast<const char*>(octets.data()), octets.size() };
+    }
+
+    BytesView asBytes(std::string_view text)
+    {
+        return { reinterpret_cast<const std::uint8_t*>(text.data()), text.size() };
+    }
+
+} // namespace
+
+Result<std::unique_ptr<PeerTask>, NetError> PeerTask::create(GatewayState& state, DirectoryTask& directory, const DaemonEntry& self)
+{
+    auto task = std::unique_ptr<PeerTask>(new PeerTask(state, directory, self));
+    auto* raw = task.get();
+    auto acceptor = HttpAcceptor::create(self.peers, { answerAtOnce([raw](const HttpRequestMessage& message) { return raw->answer(message); }), {}, {} });
+    if (!acceptor)
+        return failure(acceptor.error());
+    task->m_acceptor = std::move(*acceptor);
+    task->m_self.peers = task->m_acceptor->address();
+    auto socket = UdpSocket::create(task->m_self.peers, [raw](std::string_view octets) { raw->onDatagram(octets); });
+    if (!socket)
+        return failure(socket.error());
+    task->m_socket = std::move(*socket);
+    return task;
+}
+
+PeerTask::PeerTask(GatewayState& state, DirectoryTask& directory, DaemonEntry self)
+    : m_state(state)
+    , m_directory(directory)
+    , m_self(std::move(self))
+    , m_timer([this] { report(); })
+{
+}
+
+void PeerTask::start()
+{
+    report();
+}
+
+void PeerTask::report()
+{
+    sendReport();
+    const auto now = MonotonicClock::now();
+    const auto peers = static_cast<std::int64_t>(m_state.peers.runningCount(now));
+    m_timer.set(now + std::clamp(kReportIntervalPerPeer * peers, kLeastReportInterval, kMostReportInterval));
+}
+
+void PeerTask::sendReport()
+{
+    const auto now = MonotonicClock::now();
+    PeerReport report;
+    report.host = m_self.host;
+    report.incarnation = m_self.incarnation;
+    report.address = m_self.peers;
+    for (std::size_t i = 0; i < kDirectoryTopics; ++i)
+        report.directoryEnds[i] = m_directory.replica().end(static_cast<DirectoryTopic>(i));
+    report.drawn = m_state.rates.drawn();
+    std::erase_if(m_loading, [now](const auto& entry) { return entry.second <= now; });
+    for (const auto& [endpoint, end] : m_loading)
+        report.loading.push_back({ endpoint, std::chrono::ceil<milliseconds>(end - now) });
+    const auto octets = encodePeerReport(report);
+    for (const auto& address : m_state.peers.addresses())
+        m_socket->send(address, asText(octets));
+}
+
+void PeerTask::announceLoading(const EndpointId& endpoint, Duration time)
+{
+    const auto end = MonotonicClock::now() + time;
+    m_loading[endpoint] = end;
+    m_state.loads.pauseUntil(endpoint, end);
+    sendReport();
+}
+
+void PeerTask::onDatagram(std::string_view octets)
+{
+    const auto report = decodePeerReport(asBytes(octets));
+    if (!report || report->host == m_self.host)
+        return;
+    const auto now = MonotonicClock::now();
+    m_state.peers.add(report->host, report->address, now);
+    m_state.peers.heard(report->host, now);
+    m_state.rates.peerReported(report->host, report->incarnation, report->drawn, now);
+    for (const auto& engine : report->loading)
+        m_state.loads.pauseUntil(engine.endpoint, now + engine.remaining);
+    fetchNewer(*report);
+}
+
+void PeerTask::fetchNewer(const PeerReport& report)
+{
+    const auto now = MonotonicClock::now();
+    for (std::size_t i = 0; i < kDirectoryTopics; ++i) {
+        const auto topic = static_cast<DirectoryTopic>(i);
+        if (report.directoryEnds[i] > m_directory.replica().end(topic) && m_directory.isStale(topic, now) && !m_isFetching[i])
+            fetch(topic, report.address);
+    }
+}
+
+void PeerTask::fetch(DirectoryTopic topic, const SocketAddress& peer)
+{
+    const auto index = static_cast<std::size_t>(topic);
+    m_isFetching[index] = true;
+    HttpRequestHead head { "GET", std::string(kRecordsPath) + std::to_string(index) + '/' + std::to_string(m_directory.replica().end(topic).value()), {}, true };
+    head.fields.add("Host", peer.text());
+    m_calls.start(peer, requestText(head, {}), MonotonicClock::now() + kFetchTimeout, [this, topic, index, peer](const Result<HttpAnswer, NetError>& answer) {
+        m_isFetching[index] = false;
+        if (!answer || answer->status != kOk)
+            return;
+        const auto records = decodeRecords(asBytes(answer->body));
+        if (!records) {
+            logEvent(LogEvent::RecordUnreadable, { { "peer", peer.text() }, { "reason", records.error().detail } });
+            return;
+        }
+        m_directory.takeFromPeer(topic, *records);
+    });
+}
+
+HttpSimpleAnswer PeerTask::answer(const HttpRequestMessage& message) const
+{
+    std::string_view target = message.head.target;
+    if (!target.starts_with(kRecordsPath))
+        return { kNotFound, {}, {} };
+    target.remove_prefix(kRecordsPath.size());
+    const auto slash = target.find('/');
+    std::size_t index = kDirectoryTopics;
+    std::uint64_t from = 0;
+    if (slash != std::string_view::npos) {
+        std::from_chars(target.data(), target.data() + slash, index);
+        std::from_chars(target.data() + slash + 1, target.data() + target.size(), from);
+    }
+    if (index >= kDirectoryTopics)
+        return { kNotFound, {}, {} };
+    const auto octets = encodeRecords(m_directory.replica().recordsFrom(static_cast<DirectoryTopic>(index), LogOffset(from)));
+    return { kOk, "application/cbor", std::string(asText(octets)) };
+}
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/gateway/suspension.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "hornbeamgate/base/time.hpp"
+
+namespace hornbeamgate {
+
+/// Time that the host was suspended since it started, which the monotonic clock leaves out. Leases that others grant
+/// run on meanwhile.
+Duration suspendedTime();
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/gateway/weights_task.cpp
@@ -0,0 +1,159 @@
+#include "hornbeamgate/runtime/gateway/weights_task.hpp"
+
+#include "hornbeamgate/observability/log.hpp"
+#include "hornbeamgate/runtime/gateway/suspension.hpp"
+
+namespace hornbeamgate {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr milliseconds kTickInterval { 50 };
+    constexpr milliseconds kCallTimeout { 800 };
+    /// Between two questions whether the weights are in place; a load takes about a second.
+    constexpr milliseconds kStateInterval { 250 };
+    /// An engine that has not loaded by then is asked again from the start; runs that go on come first.
+    constexpr milliseconds kLoadTimeout { 6000 };
+    /// Requests stay away from a loading engine for so long, unless it is known to be done.
+    constexpr milliseconds kLoadingPause { 2500 };
+    constexpr milliseconds kRetryAfterFailure { 300 };
+    /// The two clocks are not read at the same moment.
+    constexpr milliseconds kClockReadingError { 50 };
+
+} // namespace
+
+WeightsTask::WeightsTask(GatewayState& state, const EngineControl& control, PeerTask& peers, HostId self)
+    : m_state(state)
+    , m_control(control)
+    , m_peers(peers)
+    , m_self(std::move(self))
+    , m_suspendedTime(suspendedTime())
+    , m_timer([this] { tick(); })
+{
+}
+
+void WeightsTask::start()
+{
+    m_timer.set(MonotonicClock::now() + kTickInterval);
+}
+
+void WeightsTask::checkSuspension()
+{
+    const auto suspended = suspendedTime();
+    if (suspended > m_suspendedTime + kClockReadingError)
+        m_state.duty.lose();
+    m_suspendedTime = suspended;
+}
+
+void WeightsTask::tick()
+{
+    checkSuspension();
+    const auto now = MonotonicClock::now();
+    for (const auto& order : m_state.duty.takeDue(m_state.roster, now))
+        begin(order);
+    m_timer.set(now + kTickInterval);
+}
+
+void WeightsTask::begin(const WeightsOrder& order)
+{
+    const auto endpoint = order.endpoint;
+    m_runs.erase(endpoint);
+    m_runs.emplace(endpoint, Run { order, ++m_lastNumber, false, MonotonicClock::now() + kLoadTimeout, Timer([this, endpoint] { askState(endpoint); }) });
+    m_peers.announceLoading(endpoint, kLoadingPause);
+    askState(endpoint);
+}
+
+void WeightsTask::askState(const EndpointId& endpoint)
+{
+    const auto* engine = m_state.roster.find(endpoint);
+    const auto now = MonotonicClock::now();
+    auto& run = m_runs.at(endpoint);
+    if (!engine || now >= run.deadline) {
+        settle(endpoint, engine ? "timed out" : "engine gone", kRetryAfterFailure);
+        return;
+    }
+    m_calls.start(engine->address, requestText(m_control.encodeReportQuery(*engine), {}), now + kCallTimeout,
+        [this, endpoint, number = run.number](const Result<HttpAnswer, NetError>& answer) { onState(endpoint, number, answer); });
+}
+
+void WeightsTask::onState(const EndpointId& endpoint, std::uint64_t number, const Result<HttpAnswer, NetError>& answer)
+{
+    auto* run = find(endpoint, number);
+    if (!run)
+        return;
+    if (!answer) {
+        settle(endpoint, answer.error().detail, kRetryAfterFailure);
+        return;
+    }
+    const auto report = m_control.decodeReport(answer->status, answer->body);
+    if (!report) {
+        settle(endpoint, report.error().detail, kRetryAfterFailure);
+        return;
+    }
+    for (const auto& [model, version] : report->weights)
+        m_state.roster.noteWeights(endpoint, model, version);
+    const auto known = report->weights.find(run->order.model);
+    if (known != report->weights.end() && known->second >= run->order.version) {
+        m_state.loads.resume(endpoint);
+        settle(endpoint, "in place", {});
+        return;
+    }
+    if (run->isOrdered || report->isBusy) {
+        run->timer.set(MonotonicClock::now() + kStateInterval);
+        return;
+    }
+    sendOrder(endpoint, report->ordersTaken);
+}
+
+void WeightsTask::sendOrder(const EndpointId& endpoint, std::uint64_t ordersTaken)
+{
+    const auto now = MonotonicClock::now();
+    auto& run = m_runs.at(endpoint);
+    const auto* engine = m_state.roster.find(endpoint);
+    checkSuspension();
+    if (!engine || !m_state.duty.isHeld(now)) {
+        settle(endpoint, "duty lost", kRetryAfterFailure);
+        return;
+    }
+    run.isOrdered = true;
+    const auto [head, body] = m_control.encodeOrder(*engine, run.order, m_self, ordersTaken);
+    m_calls.start(engine->address, requestText(head, body), now + kCallTimeout,
+        [this, endpoint, number = run.number](const Result<HttpAnswer, NetError>& answer) { onOrderAnswer(endpoint, number, answer); });
+}
+
+void WeightsTask::onOrderAnswer(const EndpointId& endpoint, std::uint64_t number, const Result<HttpAnswer, NetError>& answer)
+{
+    auto* run = find(endpoint, number);
+    if (!run)
+        return;
+    if (!answer) {
+        // It may be carried out late; the next order names how many orders the engine had taken.
+        settle(endpoint, answer.error().detail, kRetryAfterFailure);
+        return;
+    }
+    const auto meaning = m_control.decodeOrderAnswer(answer->status);
+    if (meaning == OrderAnswer::Conflict || meaning == OrderAnswer::Rejected) {
+        settle(endpoint, "status " + std::to_string(answer->status), kRetryAfterFailure);
+        return;
+    }
+    run->timer.set(MonotonicClock::now() + kStateInterval);
+}
+
+void WeightsTask::settle(const EndpointId& endpoint, std::string_view outcome, Duration retryAfter)
+{
+    const auto found = m_runs.find(endpoint);
+    logEvent(LogEvent::WeightsOrdered, { { "endpoint", endpoint.value() }, { "model", found->second.order.model.value() }, { "version", found->second.order.version.value() }, { "token", found->second.order.token.value() }, { "ordered", found->second.isOrdered ? 1 : 0 }, { "outcome", outcome } });
+    m_state.duty.settle(endpoint, MonotonicClock::now() + retryAfter);
+    // The run may be in its own timer, so it goes after that.
+    post([run = std::make_shared<Run>(std::move(found->second))] {});
+    m_runs.erase(found);
+}
+
+WeightsTask::Run* WeightsTask::find(const EndpointId& endpoint, std::uint64_t number)
+{
+    const auto found = m_runs.find(endpoint);
+    return found != m_runs.end() && found->second.number == number ? &found->second : nullptr;
+}
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/gateway/wire_format.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "hornbeamgate/gateway/endpoint_loads.hpp"
+#include "hornbeamgate/gateway/placement.hpp"
+#include "hornbeamgate/runtime/net/http_message.hpp"
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace hornbeamgate {
+
+/// What a caller's request says, once decoded.
+struct CallerFacts {
+    std::string requestId;
+    std::string authority;
+    std::string path; ///< without the query
+    std::optional<std::string> secret;
+    std::optional<std::chrono::milliseconds> timeLeft;
+    std::optional<ModelId> model;
+    std::optional<std::int64_t> tokens; ///< of the prompt and the longest answer together
+    std::vector<PromptPart> prompt;
+    std::optional<std::uint64_t> lastEventId;
+};
+
+/// What an endpoint is told beside the caller's own request.
+struct ForwardFacts {
+    EndpointId endpoint; ///< any other endpoint at the address must not run it
+    std::optional<WorkspaceId> workspace;
+    std::chrono::milliseconds timeLeft {};
+    std::optional<int> priority;
+    std::string cacheDomain;
+    std::optional<std::uint64_t> lastEventId;
+};
+
+/// What an endpoint's answer says beside its status and body.
+struct AnswerFacts {
+    bool isSigned = false; ///< it comes from an endpoint, not from something in between
+    bool isNotRun = false; ///< the endpoint did not run the request and never will
+    std::string requestId;
+    std::optional<LoadReport> load;
+    std::optional<WeightsVersion> weights;
+};
+
+/// Why a request's head cannot be used.
+struct RequestFault {
+    std::string detail;
+};
+
+/// How requests and answers are spelled where the daemon runs.
+class WireFormat {
+public:
+    virtual ~WireFormat() = default;
+
+    virtual Result<CallerFacts, RequestFault> decodeRequest(const HttpRequestHead& head) const = 0;
+    /// The caller's head as it goes to an endpoint.
+    virtual HttpRequestHead encodeForEndpoint(const HttpRequestHead& head, const ForwardFacts& facts) const = 0;
+    virtual AnswerFacts decodeAnswer(const HttpResponseHead& head) const = 0;
+    /// Fields of an answer of the daemon's own.
+    virtual HttpFields encodeRefusal(std::string_view requestId, std::optional<std::chrono::milliseconds> retryAfter) const = 0;
+    virtual bool isReadinessCheck(const HttpRequestHead& head) const = 0;
+};
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/net/http_acceptor.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "hornbeamgate/runtime/net/http_server_connection.hpp"
+#include "hornbeamgate/runtime/net/tcp_listener.hpp"
+
+#include <unordered_map>
+
+namespace hornbeamgate {
+
+/// Listening address with the connections that came in over it.
+class HttpAcceptor {
+public:
+    /// What the connections of one address share. `limits` and `isClosing` may be empty.
+    struct Service {
+        HttpServerConnection::Accept accept;
+        std::function<HttpServerLimits()> limits;
+        std::function<bool()> isClosing;
+    };
+
+    static Result<std::unique_ptr<HttpAcceptor>, NetError> create(const SocketAddress& address, Service service);
+
+    const SocketAddress& address() const { return m_listener->address(); }
+    std::size_t connections() const { return m_connections.size(); }
+    /// Connections with a request in progress.
+    std::size_t busyConnections() const;
+    void closeIdleConnections();
+
+private:
+    explicit HttpAcceptor(Service service);
+    void add(std::unique_ptr<TcpStream> stream);
+
+    HttpServerConnection::Host m_host;
+    std::unique_ptr<TcpListener> m_listener;
+    std::unordered_map<const HttpServerConnection*, std::unique_ptr<HttpServerConnection>> m_connections;
+    Liveness m_liveness;
+};
+
+/// Answer that is known at once.
+struct HttpSimpleAnswer {
+    int status = 200;
+    std::string contentType;
+    std::string body;
+};
+
+/// Accept function for requests that are answered at once by `answer`.
+HttpServerConnection::Accept answerAtOnce(std::function<HttpSimpleAnswer(const HttpRequestMessage&)> answer);
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/net/http_connection_pool.cpp
@@ -0,0 +1,70 @@
+#include "hornbeamgate/runtime/net/http_connection_pool.hpp"
+
+#include <algorithm>
+
+namespace hornbeamgate {
+
+namespace {
+
+    /// Idle connections kept for one peer; more than its usual concurrent requests from one daemon.
+    constexpr std::size_t kMostIdle = 16;
+    /// Idle time trusted at first; idle timeouts of servers are rarely shorter.
+    constexpr std::chrono::milliseconds kFirstTrustedIdleTime { 5000 };
+
+} // namespace
+
+std::unique_ptr<TcpStream> HttpConnectionPool::take(const SocketAddress& peer, MonotonicTime now)
+{
+    const auto found = m_peers.find(peer.text());
+    if (found == m_peers.end())
+        return nullptr;
+    auto& idle = found->second.idle;
+    std::erase_if(idle, [&](const Idle& entry) {
+        return now >= entry.keptUntil || now - entry.since > found->second.trustedIdleTime || !entry.stream->isQuiet();
+    });
+    if (idle.empty())
+        return nullptr;
+    // The newest is the least likely to have been forgotten.
+    auto stream = std::move(idle.back().stream);
+    m_lastIdleTime = now - idle.back().since;
+    idle.pop_back();
+    ++m_reused;
+    return stream;
+}
+
+void HttpConnectionPool::put(const SocketAddress& peer, std::unique_ptr<TcpStream> stream, MonotonicTime keptUntil, MonotonicTime now)
+{
+    auto& idle = peerAt(peer).idle;
+    if (idle.size() >= kMostIdle)
+        idle.pop_front();
+    const auto* raw = stream.get();
+    const auto drop = [this, key = peer.text(), raw] {
+        // The stream is in its own callback, so it goes after that.
+        post([this, key, raw, alive = m_liveness.watch()] {
+            if (!alive.expired())
+                remove(key, raw);
+        });
+    };
+    stream->setHandlers({ {}, [drop](std::string_view) { drop(); }, [drop](StreamEnd, const std::string&) { drop(); } });
+    idle.push_back({ std::move(stream), now, keptUntil });
+}
+
+void HttpConnectionPool::noteBrokenReuse(const SocketAddress& peer, Duration idleTime)
+{
+    auto& trusted = peerAt(peer).trustedIdleTime;
+    trusted = std::min(trusted, idleTime / 2);
+}
+
+HttpConnectionPool::Peer& HttpConnectionPool::peerAt(const SocketAddress& address)
+{
+    return m_peers.try_emplace(address.text(), Peer { {}, kFirstTrustedIdleTime }).first->second;
+}
+
+void HttpConnectionPool::remove(const std::string& peer, const TcpStream* stream)
+{
+    const auto found = m_peers.find(peer);
+    if (found != m_peers.end())
+        std::erase_if(found->second.idle, [stream](const Idle& entry) { return entry.stream.get() == stream; });
+}
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/net/http_exchange.cpp
@@ -0,0 +1,183 @@
+#include "hornbeamgate/runtime/net/http_exchange.hpp"
+
+#include <array>
+#include <charconv>
+
+namespace hornbeamgate {
+
+namespace {
+
+    /// Idle time of connections whose peer names none.
+    constexpr std::chrono::seconds kDefaultKeepAlive { 10 };
+    /// Taken off the idle time that the peer names, for the way of the next request.
+    constexpr std::chrono::milliseconds kKeepAliveMargin { 300 };
+
+    /// Idle time that the peer allows by its Keep-Alive field.
+    Duration keepAliveTime(const HttpFields& fields)
+    {
+        constexpr std::string_view kParameter = "timeout=";
+        const auto value = fields.find("Keep-Alive");
+        if (!value)
+            return kDefaultKeepAlive;
+        const auto start = value->find(kParameter);
+        if (start == std::string_view::npos)
+            return kDefaultKeepAlive;
+        int seconds = 0;
+        const auto digits = value->substr(start + kParameter.size());
+        if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc())
+            return kDefaultKeepAlive;
+        return std::chrono::seconds(seconds) - kKeepAliveMargin;
+    }
+
+} // namespace
+
+std::string_view exchangeFailureName(ExchangeFailure failure)
+{
+    constexpr std::array<std::string_view, 4> kNames { "not_sent", "no_answer", "broken_answer", "malformed_answer" };
+    return kNames[static_cast<std::size_t>(failure)];
+}
+
+HttpExchange::HttpExchange(HttpConnectionPool& pool, ExchangeRequest request, Handlers handlers)
+    : m_pool(pool)
+    , m_request(std::move(request))
+    , m_handlers(std::make_shared<const Handlers>(std::move(handlers)))
+{
+    m_parser = HttpParser::forResponses({}, { {}, [this](HttpResponseHead head) { onHead(std::move(head)); }, [this](std::string_view octets) {
+                                                 if (!m_isSkipping)
+                                                     m_events.push_back({ Event::Kind::Body, {}, std::string(octets) }); }, [this] { onComplete(); } });
+    m_parser->expectNoBody(m_request.isHeadRequest);
+    open();
+}
+
+void HttpExchange::open()
+{
+    m_stream = m_pool.take(m_request.peer, MonotonicClock::now());
+    m_isReused = m_stream != nullptr;
+    if (m_isReused)
+        m_idleTime = m_pool.lastIdleTime();
+    if (!m_stream) {
+        auto connected = TcpStream::connect(m_request.peer, m_request.connectDeadline);
+        if (!connected) {
+            // The caller still holds no pointer to this exchange.
+            post([this, reason = connected.error().detail, alive = m_liveness.watch()] {
+                if (!alive.expired())
+                    fail(ExchangeFailure::NotSent, reason);
+            });
+            return;
+        }
+        m_pool.noteOpened();
+        m_stream = std::move(*connected);
+    }
+    m_stream->setHandlers({ [this] { send(); }, [this](std::string_view octets) { onReceived(octets); },
+        [this](StreamEnd how, const std::string& reason) { onEnded(how, reason); } });
+    if (m_isReused)
+        send();
+}
+
+void HttpExchange::send()
+{
+    m_isSent = true;
+    m_stream->send(m_request.text);
+    m_request.text = {};
+}
+
+void HttpExchange::pauseReading(bool paused)
+{
+    if (m_stream)
+        m_stream->pauseReading(paused);
+}
+
+void HttpExchange::onReceived(std::string_view octets)
+{
+    while (!octets.empty() && !m_isDone) {
+        const auto taken = m_parser->feed(octets);
+        if (!taken) {
+            // What came whole before the fault still counts.
+            const auto alive = m_liveness.watch();
+            deliver();
+            if (!alive.expired())
+                fail(m_hasAnswer ? ExchangeFailure::BrokenAnswer : ExchangeFailure::MalformedAnswer, taken.error().detail);
+            return;
+        }
+        octets.remove_prefix(*taken);
+    }
+    m_hasTrailingOctets = !octets.empty();
+    deliver();
+}
+
+void HttpExchange::onEnded(StreamEnd how, const std::string& reason)
+{
+    if (how == StreamEnd::Finished && m_hasAnswer && !m_isDone && m_parser->finish() && m_isDone) {
+        m_keepsAlive = false;
+        deliver();
+        return;
+    }
+    if (how == StreamEnd::Refused || !m_isSent) {
+        fail(ExchangeFailure::NotSent, reason);
+        return;
+    }
+    if (m_isReused && !m_hasAnswer)
+        m_pool.noteBrokenReuse(m_request.peer, m_idleTime);
+    fail(m_hasAnswer ? ExchangeFailure::BrokenAnswer : ExchangeFailure::NoAnswer, reason);
+}
+
+void HttpExchange::onHead(HttpResponseHead head)
+{
+    m_isSkipping = m_request.isOwnAnswer && !m_request.isOwnAnswer(head);
+    m_keepsAlive = head.keepsAlive && !head.endsWithConnection;
+    if (m_isSkipping)
+        return;
+    m_hasAnswer = true;
+    m_keepAliveTime = keepAliveTime(head.fields);
+    m_events.push_back({ Event::Kind::Head, std::move(head), {} });
+}
+
+void HttpExchange::onComplete()
+{
+    if (std::exchange(m_isSkipping, false))
+        return;
+    m_isDone = true;
+    m_events.push_back({ Event::Kind::Complete, {}, {} });
+}
+
+void HttpExchange::deliver()
+{
+    const auto alive = m_liveness.watch();
+    const auto handlers = m_handlers;
+    while (!m_events.empty()) {
+        auto event = std::move(m_events.front());
+        m_events.pop_front();
+        if (event.kind == Event::Kind::Head) {
+            handlers->head(std::move(event.head));
+        } else if (event.kind == Event::Kind::Body) {
+            handlers->body(event.octets);
+        } else {
+            giveBack();
+            handlers->complete();
+            return;
+        }
+        if (alive.expired())
+            return;
+    }
+}
+
+void HttpExchange::giveBack()
+{
+    const bool isClean = m_keepsAlive && !m_hasTrailingOctets && m_stream->unsent() == 0;
+    const auto now = MonotonicClock::now();
+    if (isClean && m_keepAliveTime > Duration::zero()) {
+        m_pool.put(m_request.peer, std::move(m_stream), now + m_keepAliveTime, now);
+        return;
+    }
+    // The stream may be in its own callback, so it goes after that.
+    post([stream = std::shared_ptr<TcpStream>(std::move(m_stream))] {});
+}
+
+void HttpExchange::fail(ExchangeFailure failure, const std::string& reason)
+{
+    m_isDone = true;
+    const auto handlers = m_handlers;
+    handlers->failed(failure, reason);
+}
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/net/http_exchange.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "hornbeamgate/runtime/net/http_connection_pool.hpp"
+#include "hornbeamgate/runtime/net/http_parser.hpp"
+
+#include <deque>
+
+namespace hornbeamgate {
+
+/// Why an exchange has no whole answer.
+enum class ExchangeFailure {
+    NotSent, ///< no octet of the request left this host
+    NoAnswer, ///< the connection ended before an answer began
+    BrokenAnswer, ///< the answer began and has no proper end
+    MalformedAnswer,
+};
+
+std::string_view exchangeFailureName(ExchangeFailure failure);
+
+/// Request of one exchange.
+struct ExchangeRequest {
+    SocketAddress peer;
+    std::string text; ///< head and body as they are sent
+    bool isHeadRequest = false;
+    MonotonicTime connectDeadline {};
+    /// Answers for which this is false belong to an earlier exchange and are skipped. Empty takes every answer.
+    std::function<bool(const HttpResponseHead&)> isOwnAnswer;
+};
+
+/// One HTTP/1.1 request and its answer over a pooled connection. Nothing is ever sent twice. Destroying the exchange
+/// before its end closes its connection.
+class HttpExchange {
+public:
+    /// Any callback may destroy the exchange. `complete` and `failed` come once and last.
+    struct Handlers {
+        std::function<void(HttpResponseHead)> head;
+        std::function<void(std::string_view)> body;
+        std::function<void()> complete;
+        std::function<void(ExchangeFailure, const std::string& reason)> failed;
+    };
+
+    HttpExchange(HttpConnectionPool& pool, ExchangeRequest request, Handlers handlers);
+    HttpExchange(const HttpExchange&) = delete;
+    HttpExchange& operator=(const HttpExchange&) = delete;
+
+    void pauseReading(bool paused);
+
+    /// True when the request went over a connection that had been idle before.
+    bool isReused() const { return m_isReused; }
+
+private:
+    struct Event {
+        enum class Kind { Head,
+            Body,
+            Complete } kind;
+        HttpResponseHead head;
+        std::string octets;
+    };
+
+    void open();
+    void send();
+    void onReceived(std::string_view octets);
+    void onEnded(StreamEnd how, const std::string& reason);
+    void onHead(HttpResponseHead head);
+    void onComplete();
+    void deliver();
+    void giveBack();
+    void fail(ExchangeFailure failure, const std::string& reason);
+
+    HttpConnectionPool& m_pool;
+    ExchangeRequest m_request;
+    std::shared_ptr<const Handlers> m_handlers; ///< shared with a callback that destroys the exchange
+    std::unique_ptr<TcpStream> m_stream;
+    std::unique_ptr<HttpParser> m_parser;
+    std::deque<Event> m_events;
+    bool m_isReused = false;
+    Duration m_idleTime {};
+    bool m_isSent = false;
+    bool m_hasAnswer = false;
+    bool m_isSkipping = false;
+    bool m_isDone = false;
+    bool m_hasTrailingOctets = false;
+    bool m_keepsAlive = false;
+    Duration m_keepAliveTime {};
+    Liveness m_liveness;
+};
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/net/http_message.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "hornbeamgate/base/result.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hornbeamgate {
+
+struct HttpField {
+    std::string name;
+    std::string value;
+};
+
+/// Fields of a message in their order. Names compare without regard to case.
+class HttpFields {
+public:
+    void add(std::string_view name, std::string_view value) { m_fields.push_back({ std::string(name), std::string(value) }); }
+    void remove(std::string_view name);
+    /// Value of the first field with that name.
+    std::optional<std::string_view> find(std::string_view name) const;
+    std::size_t count(std::string_view name) const;
+    /// True when a comma-separated list under `name` holds `token`.
+    bool listHolds(std::string_view name, std::string_view token) const;
+
+    const std::vector<HttpField>& all() const { return m_fields; }
+    std::vector<HttpField>& all() { return m_fields; }
+
+private:
+    std::vector<HttpField> m_fields;
+};
+
+struct HttpRequestHead {
+    std::string method;
+    std::string target;
+    HttpFields fields;
+    bool keepsAlive = true;
+};
+
+struct HttpResponseHead {
+    int status = 0;
+    HttpFields fields;
+    bool keepsAlive = true;
+    bool endsWithConnection = false; ///< neither a length nor chunks mark the end of the body
+};
+
+/// What is wrong with octets that should be HTTP/1.1.
+struct HttpFault {
+    std::string detail;
+    bool isTooLarge = false;
+};
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right);
+
+/// Removes the fields that concern a single connection, and those that the sender lists as such.
+void removeConnectionFields(HttpFields& fields);
+
+std::string requestText(const HttpRequestHead& head, std::string_view body);
+std::string responseHeadText(int status, const HttpFields& fields);
+std::string_view statusPhrase(int status);
+/// One chunk of a chunked body. An empty one would end the body and gives nothing.
+std::string chunkText(std::string_view octets);
+inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/net/http_server_connection.cpp
@@ -0,0 +1,198 @@
+#include "hornbeamgate/runtime/net/http_server_connection.hpp"
+
+namespace hornbeamgate {
+
+namespace {
+
+    constexpr int kBadRequest = 400;
+    constexpr int kRequestTimeout = 408;
+    constexpr int kContentTooLarge = 413;
+    constexpr int kHeadTooLarge = 431;
+    /// Octets of later requests that are read while one is in progress.
+    constexpr std::size_t kMaxPending = 65536;
+    /// Time for a client to close its side after the last answer.
+    constexpr std::chrono::milliseconds kLinger { 1000 };
+
+} // namespace
+
+HttpServerConnection::HttpServerConnection(std::unique_ptr<TcpStream> stream, const Host& host)
+    : m_host(host)
+    , m_stream(std::move(stream))
+    , m_timer([this] { onTimeout(); })
+{
+    const auto limits = m_host.limits();
+    m_parser = HttpParser::forRequests({ limits.maxHeadBytes, limits.maxBodyBytes },
+        { [this](HttpRequestHead head) { onHead(std::move(head)); }, {}, [this](std::string_view octets) { onBody(octets); }, [this] { onRequest(); } });
+    m_stream->setHandlers({ {}, [this](std::string_view octets) { onReceived(octets); }, [this](StreamEnd, const std::string&) { onEnded(); } });
+    m_timer.set(MonotonicClock::now() + limits.idleTimeout);
+}
+
+void HttpServerConnection::onReceived(std::string_view octets)
+{
+    if (m_isFinishing)
+        return;
+    m_pending += octets;
+    if (!m_handler)
+        parsePending();
+    if (m_stream && m_handler && m_pending.size() > kMaxPending)
+        m_stream->pauseReading(true);
+}
+
+void HttpServerConnection::parsePending()
+{
+    const auto alive = m_liveness.watch();
+    while (!m_pending.empty() && !m_handler && !m_hasEnded && !m_isFinishing) {
+        if (!m_isReadingRequest) {
+            m_isReadingRequest = true;
+            m_timer.set(MonotonicClock::now() + m_host.limits().headTimeout);
+        }
+        // The parser hands parts of its input to callbacks, which may take up new input.
+        const auto octets = std::exchange(m_pending, {});
+        const auto taken = m_parser->feed(octets);
+        if (alive.expired())
+            return;
+        if (!taken) {
+            const bool inBody = !m_message.head.method.empty();
+            refuse(!taken.error().isTooLarge ? kBadRequest : inBody ? kContentTooLarge
+                                                                    : kHeadTooLarge);
+            return;
+        }
+        m_pending.insert(0, octets, *taken);
+    }
+}
+
+void HttpServerConnection::onHead(HttpRequestHead head)
+{
+    m_message = { std::move(head), {}, MonotonicClock::now() };
+    m_isHeadRequest = m_message.head.method == "HEAD";
+    m_keepsAlive = m_message.head.keepsAlive;
+    if (m_message.head.fields.listHolds("Expect", "100-continue"))
+        m_stream->send("HTTP/1.1 100 Continue\r\n\r\n");
+    // A client may be slow with a long body, within its idle time.
+    m_timer.set(MonotonicClock::now() + m_host.limits().idleTimeout);
+}
+
+void HttpServerConnection::onBody(std::string_view octets)
+{
+    m_message.body += octets;
+}
+
+void HttpServerConnection::onRequest()
+{
+    m_timer.clear();
+    m_isReadingRequest = false;
+    m_handler = m_host.accept(*this, std::exchange(m_message, {}));
+    m_handler->start();
+}
+
+void HttpServerConnection::answer(int status, HttpFields fields, std::string_view body)
+{
+    fields.add("Content-Length", std::to_string(body.size()));
+    if (m_host.isClosing())
+        m_keepsAlive = false;
+    if (!m_keepsAlive)
+        fields.add("Connection", "close");
+    auto text = responseHeadText(status, fields);
+    if (!m_isHeadRequest)
+        text += body;
+    m_stream->send(text);
+    endAnswer();
+}
+
+void HttpServerConnection::beginAnswer(int status, HttpFields fields)
+{
+    fields.add("Transfer-Encoding", "chunked");
+    if (m_host.isClosing())
+        m_keepsAlive = false;
+    if (!m_keepsAlive)
+        fields.add("Connection", "close");
+    m_stream->send(responseHeadText(status, fields));
+}
+
+void HttpServerConnection::sendPiece(std::string_view octets)
+{
+    m_stream->send(chunkText(octets));
+}
+
+void HttpServerConnection::finishAnswer()
+{
+    m_stream->send(kLastChunk);
+    endAnswer();
+}
+
+void HttpServerConnection::endAnswer()
+{
+    // The handler is in its own callback, so it goes after that.
+    post([this, alive = m_liveness.watch()] {
+        if (alive.expired() || m_hasEnded)
+            return;
+        m_handler.reset();
+        if (!m_keepsAlive) {
+            finish();
+            return;
+        }
+        m_timer.set(MonotonicClock::now() + m_host.limits().idleTimeout);
+        m_stream->pauseReading(false);
+        parsePending();
+    });
+}
+
+void HttpServerConnection::abort()
+{
+    close();
+}
+
+void HttpServerConnection::closeIfIdle()
+{
+    if (!hasRequest() && !m_hasEnded && !m_isFinishing)
+        finish();
+}
+
+void HttpServerConnection::finish()
+{
+    m_isFinishing = true;
+    m_stream->finishSending();
+    m_timer.set(MonotonicClock::now() + kLinger);
+}
+
+void HttpServerConnection::onEnded()
+{
+    if (m_handler)
+        m_handler->clientLeft();
+    notifyEnded();
+}
+
+void HttpServerConnection::onTimeout()
+{
+    if (m_isReadingRequest && !m_hasEnded) {
+        refuse(kRequestTimeout);
+        return;
+    }
+    close();
+}
+
+void HttpServerConnection::refuse(int status)
+{
+    m_keepsAlive = false;
+    m_isReadingRequest = false;
+    m_pending.clear();
+    answer(status, {}, {});
+    m_isFinishing = true;
+}
+
+void HttpServerConnection::close()
+{
+    if (m_hasEnded)
+        return;
+    notifyEnded();
+}
+
+void HttpServerConnection::notifyEnded()
+{
+    if (std::exchange(m_hasEnded, true))
+        return;
+    m_timer.clear();
+    m_host.ended(*this);
+}
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/net/internal/socket_calls.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "hornbeamgate/base/socket_address.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hornbeamgate::internal {
+
+inline std::optional<sockaddr_in> toSocketAddress(const SocketAddress& address)
+{
+    sockaddr_in result {};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(address.port);
+    if (inet_pton(AF_INET, address.ip.c_str(), &result.sin_addr) != 1)
+        return std::nullopt;
+    return result;
+}
+
+inline const sockaddr* asGeneric(const sockaddr_in& address)
+{
+    return reinterpret_cast<const sockaddr*>(&address);
+}
+
+inline std::string lastError(std::string_view call)
+{
+    return std::string(call) + ": " + std::strerror(errno);
+}
+
+} // namespace hornbeamgate::internal
--- /dev/null
+++ b/src/hornbeamgate/runtime/net/tcp_listener.cpp
@@ -0,0 +1,74 @@
+#include "hornbeamgate/runtime/net/tcp_listener.hpp"
+
+#include "hornbeamgate/runtime/net/internal/socket_calls.hpp"
+
+#include <glib-unix.h>
+#include <unistd.h>
+
+namespace hornbeamgate {
+
+namespace {
+
+    /// Connections that may wait to be accepted; a herd of returning callers fits.
+    constexpr int kBacklog = 1024;
+    /// Accepted in one turn of the main loop, so that a herd does not stop running requests.
+    constexpr int kAcceptedAtOnce = 32;
+
+    gboolean acceptReady(gint, GIOCondition, gpointer data)
+    {
+        (*static_cast<std::function<void()>*>(data))();
+        return G_SOURCE_CONTINUE;
+    }
+
+} // namespace
+
+Result<std::unique_ptr<TcpListener>, NetError> TcpListener::create(const SocketAddress& address, Accepted accepted)
+{
+    const auto bound = internal::toSocketAddress(address);
+    if (!bound)
+        return failure(NetError { "not an IPv4 address: " + address.ip });
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return failure(NetError { internal::lastError("socket") });
+    const int reuse = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+    if (bind(descriptor, internal::asGeneric(*bound), sizeof *bound) != 0 || listen(descriptor, kBacklog) != 0) {
+        auto error = internal::lastError("cannot listen on " + address.text());
+        close(descriptor);
+        return failure(NetError { std::move(error) });
+    }
+    sockaddr_in actual {};
+    socklen_t size = sizeof actual;
+    getsockname(descriptor, reinterpret_cast<sockaddr*>(&actual), &size);
+    return std::unique_ptr<TcpListener>(new TcpListener(descriptor, { address.ip, ntohs(actual.sin_port) }, std::move(accepted)));
+}
+
+TcpListener::TcpListener(int descriptor, SocketAddress address, Accepted accepted)
+    : m_descriptor(descriptor)
+    , m_address(std::move(address))
+    , m_accepted(std::move(accepted))
+{
+    auto* source = g_unix_fd_source_new(descriptor, G_IO_IN);
+    auto* call = new std::function<void()>([this] { acceptAll(); });
+    g_source_set_callback(source, G_SOURCE_FUNC(acceptReady), call, [](gpointer data) { delete static_cast<std::function<void()>*>(data); });
+    g_source_attach(source, nullptr);
+    m_source = EventSource(source);
+}
+
+TcpListener::~TcpListener()
+{
+    m_source.reset();
+    close(m_descriptor);
+}
+
+void TcpListener::acceptAll()
+{
+    for (int i = 0; i < kAcceptedAtOnce; ++i) {
+        const int accepted = accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (accepted < 0)
+            return;
+        m_accepted(TcpStream::adopt(accepted));
+    }
+}
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/net/tcp_listener.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "hornbeamgate/runtime/net/tcp_stream.hpp"
+
+namespace hornbeamgate {
+
+/// Listening TCP socket that hands over accepted connections.
+class TcpListener {
+public:
+    using Accepted = std::function<void(std::unique_ptr<TcpStream>)>;
+
+    static Result<std::unique_ptr<TcpListener>, NetError> create(const SocketAddress& address, Accepted accepted);
+    ~TcpListener();
+    TcpListener(const TcpListener&) = delete;
+    TcpListener& operator=(const TcpListener&) = delete;
+
+    /// Address with the port that the kernel chose, if the given one was 0.
+    const SocketAddress& address() const { return m_address; }
+
+private:
+    TcpListener(int descriptor, SocketAddress address, Accepted accepted);
+    void acceptAll();
+
+    int m_descriptor;
+    SocketAddress m_address;
+    Accepted m_accepted;
+    EventSource m_source;
+};
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/net/tcp_stream.cpp
@@ -0,0 +1,232 @@
+#include "hornbeamgate/runtime/net/tcp_stream.hpp"
+
+#include "hornbeamgate/runtime/net/internal/socket_calls.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+namespace hornbeamgate {
+
+namespace {
+
+    /// Unacknowledged data or probes end a connection after this time, so a silent path is found well within the
+    /// shortest request deadline; a few retransmissions on the longest path fit.
+    constexpr std::chrono::milliseconds kSilenceTimeout { 2000 };
+    /// Idle time before the first probe, and between probes.
+    constexpr std::chrono::seconds kProbeInterval { 1 };
+    /// Unanswered probes that end a connection.
+    constexpr int kProbesUntilDead = 2;
+    /// Read at a time; a few long prompts.
+    constexpr std::size_t kReadSize = 65536;
+    /// Octets sent from the front of the buffer before it is compacted.
+    constexpr std::size_t kCompactionSize = 65536;
+
+    void setOption(int descriptor, int level, int name, int value)
+    {
+        setsockopt(descriptor, level, name, &value, sizeof value);
+    }
+
+    void setConnectionOptions(int descriptor)
+    {
+        setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+        setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+        setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(kProbeInterval.count()));
+        setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(kProbeInterval.count()));
+        setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kProbesUntilDead);
+        setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(kSilenceTimeout.count()));
+    }
+
+    /// Source that carries the stream it belongs to.
+    struct StreamSource {
+        GSource base;
+        TcpStream* stream;
+    };
+
+} // namespace
+
+Result<std::unique_ptr<TcpStream>, NetError> TcpStream::connect(const SocketAddress& peer, MonotonicTime deadline)
+{
+    const auto address = internal::toSocketAddress(peer);
+    if (!address)
+        return failure(NetError { "not an IPv4 address: " + peer.ip });
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return failure(NetError { internal::lastError("socket") });
+    setConnectionOptions(descriptor);
+    auto stream = std::unique_ptr<TcpStream>(new TcpStream(descriptor));
+    if (::connect(descriptor, internal::asGeneric(*address), sizeof *address) != 0 && errno != EINPROGRESS)
+        return failure(NetError { internal::lastError("connect") });
+    stream->m_connectTimer.set(deadline);
+    stream->updateInterest();
+    return stream;
+}
+
+std::unique_ptr<TcpStream> TcpStream::adopt(int descriptor)
+{
+    setConnectionOptions(descriptor);
+    auto stream = std::unique_ptr<TcpStream>(new TcpStream(descriptor));
+    stream->m_isConnected = true;
+    stream->updateInterest();
+    return stream;
+}
+
+TcpStream::TcpStream(int descriptor)
+    : m_descriptor(descriptor)
+    , m_connectTimer([this] { end(StreamEnd::Refused, "connecting timed out"); })
+{
+    static GSourceFuncs functions { nullptr, nullptr, dispatch, nullptr, nullptr, nullptr };
+    auto* source = g_source_new(&functions, sizeof(StreamSource));
+    reinterpret_cast<StreamSource*>(source)->stream = this;
+    m_tag = g_source_add_unix_fd(source, descriptor, GIOCondition(0));
+    g_source_attach(source, nullptr);
+    m_source = EventSource(source);
+}
+
+TcpStream::~TcpStream()
+{
+    m_source.reset();
+    close(m_descriptor);
+}
+
+void TcpStream::send(std::string_view octets)
+{
+    m_unsent += octets;
+    if (m_isConnected)
+        flush();
+}
+
+bool TcpStream::isQuiet() const
+{
+    if (m_hasEnded)
+        return false;
+    char octet = 0;
+    return recv(m_descriptor, &octet, sizeof octet, MSG_PEEK) < 0 && errno == EAGAIN;
+}
+
+void TcpStream::pauseReading(bool paused)
+{
+    m_isReadingPaused = paused;
+    updateInterest();
+}
+
+void TcpStream::finishSending()
+{
+    m_finishAfterFlush = true;
+    if (m_isConnected && unsent() == 0)
+        shutdown(m_descriptor, SHUT_WR);
+}
+
+gboolean TcpStream::dispatch(GSource* source, GSourceFunc, gpointer)
+{
+    auto* stream = reinterpret_cast<StreamSource*>(source)->stream;
+    stream->onReady(g_source_query_unix_fd(source, stream->m_tag));
+    return G_SOURCE_CONTINUE;
+}
+
+void TcpStream::onReady(GIOCondition condition)
+{
+    const auto alive = m_liveness.watch();
+    if (!m_isConnected) {
+        finishConnecting();
+        return;
+    }
+    if (condition & G_IO_OUT)
+        flush();
+    if (alive.expired() || m_hasEnded)
+        return;
+    if (condition & (G_IO_IN | G_IO_HUP | G_IO_ERR))
+        read();
+}
+
+void TcpStream::finishConnecting()
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) {
+        end(StreamEnd::Refused, std::strerror(error));
+        return;
+    }
+    m_isConnected = true;
+    m_connectTimer.clear();
+    const auto alive = m_liveness.watch();
+    const auto handlers = m_handlers;
+    if (handlers->connected)
+        handlers->connected();
+    if (!alive.expired())
+        flush();
+}
+
+void TcpStream::read()
+{
+    std::array<char, kReadSize> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    const auto count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+    if (count > 0) {
+        const auto handlers = m_handlers;
+        handlers->received({ buffer.data(), static_cast<std::size_t>(count) });
+        return;
+    }
+    if (count == 0) {
+        end(StreamEnd::Finished, "closed by the peer");
+        return;
+    }
+    if (errno != EAGAIN && errno != EINTR)
+        end(StreamEnd::Broken, internal::lastError("recv"));
+}
+
+void TcpStream::flush()
+{
+    while (unsent() > 0) {
+        const auto count = ::send(m_descriptor, m_unsent.data() + m_sentOffset, unsent(), MSG_NOSIGNAL);
+        if (count < 0) {
+            // A failed send is reported by the read side, after what the peer sent before.
+            if (errno != EAGAIN && errno != EINTR) {
+                m_unsent.clear();
+                m_sentOffset = 0;
+            }
+            break;
+        }
+        m_sentOffset += static_cast<std::size_t>(count);
+    }
+    if (unsent() == 0) {
+        m_unsent.clear();
+        m_sentOffset = 0;
+        if (m_finishAfterFlush)
+            shutdown(m_descriptor, SHUT_WR);
+    } else if (m_sentOffset > kCompactionSize) {
+        m_unsent.erase(0, m_sentOffset);
+        m_sentOffset = 0;
+    }
+    updateInterest();
+}
+
+void TcpStream::updateInterest()
+{
+    if (m_hasEnded)
+        return;
+    int interest = 0;
+    if (!m_isConnected || unsent() > 0)
+        interest |= G_IO_OUT;
+    if (m_isConnected && !m_isReadingPaused)
+        interest |= G_IO_IN;
+    g_source_modify_unix_fd(m_source.get(), m_tag, GIOCondition(interest));
+}
+
+void TcpStream::end(StreamEnd how, const std::string& reason)
+{
+    if (m_hasEnded)
+        return;
+    m_hasEnded = true;
+    m_source.reset();
+    m_connectTimer.clear();
+    const auto handlers = m_handlers;
+    handlers->ended(how, reason);
+}
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/net/udp_socket.cpp
@@ -0,0 +1,78 @@
+#include "hornbeamgate/runtime/net/udp_socket.hpp"
+
+#include "hornbeamgate/runtime/net/internal/socket_calls.hpp"
+
+#include <glib-unix.h>
+#include <unistd.h>
+
+#include <array>
+
+namespace hornbeamgate {
+
+namespace {
+
+    constexpr std::size_t kLargestDatagram = 65536;
+    /// Datagrams handled in one turn of the main loop.
+    constexpr int kReceivedAtOnce = 64;
+
+    gboolean receiveReady(gint, GIOCondition, gpointer data)
+    {
+        (*static_cast<std::function<void()>*>(data))();
+        return G_SOURCE_CONTINUE;
+    }
+
+} // namespace
+
+Result<std::unique_ptr<UdpSocket>, NetError> UdpSocket::create(const SocketAddress& address, Received received)
+{
+    const auto bound = internal::toSocketAddress(address);
+    if (!bound)
+        return failure(NetError { "not an IPv4 address: " + address.ip });
+    const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return failure(NetError { internal::lastError("socket") });
+    if (bind(descriptor, internal::asGeneric(*bound), sizeof *bound) != 0) {
+        auto error = internal::lastError("cannot bind " + address.text());
+        close(descriptor);
+        return failure(NetError { std::move(error) });
+    }
+    return std::unique_ptr<UdpSocket>(new UdpSocket(descriptor, std::move(received)));
+}
+
+UdpSocket::UdpSocket(int descriptor, Received received)
+    : m_descriptor(descriptor)
+    , m_received(std::move(received))
+{
+    auto* source = g_unix_fd_source_new(descriptor, G_IO_IN);
+    auto* call = new std::function<void()>([this] { receiveAll(); });
+    g_source_set_callback(source, G_SOURCE_FUNC(receiveReady), call, [](gpointer data) { delete static_cast<std::function<void()>*>(data); });
+    g_source_attach(source, nullptr);
+    m_source = EventSource(source);
+}
+
+UdpSocket::~UdpSocket()
+{
+    m_source.reset();
+    close(m_descriptor);
+}
+
+void UdpSocket::send(const SocketAddress& peer, std::string_view octets)
+{
+    const auto address = internal::toSocketAddress(peer);
+    if (!address)
+        return;
+    sendto(m_descriptor, octets.data(), octets.size(), MSG_NOSIGNAL, internal::asGeneric(*address), sizeof *address);
+}
+
+void UdpSocket::receiveAll()
+{
+    std::array<char, kLargestDatagram> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    for (int i = 0; i < kReceivedAtOnce; ++i) {
+        const auto count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+        if (count < 0)
+            return;
+        m_received({ buffer.data(), static_cast<std::size_t>(count) });
+    }
+}
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/runtime/net/udp_socket.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "hornbeamgate/runtime/net/tcp_stream.hpp"
+
+namespace hornbeamgate {
+
+/// Bound UDP socket.
+class UdpSocket {
+public:
+    using Received = std::function<void(std::string_view)>;
+
+    static Result<std::unique_ptr<UdpSocket>, NetError> create(const SocketAddress& address, Received received);
+    ~UdpSocket();
+    UdpSocket(const UdpSocket&) = delete;
+    UdpSocket& operator=(const UdpSocket&) = delete;
+
+    /// Sends one datagram. A datagram that cannot be sent is lost, like one that is lost on the way.
+    void send(const SocketAddress& peer, std::string_view octets);
+
+private:
+    UdpSocket(int descriptor, Received received);
+    void receiveAll();
+
+    int m_descriptor;
+    Received m_received;
+    EventSource m_source;
+};
+
+} // namespace hornbeamgate
--- a/src/hornbeamgate/settings/common_settings.cpp
+++ b/src/hornbeamgate/settings/common_settings.cpp
@@ -34,6 +34,31 @@
 
 } // namespace
 
+std::vector<DataCenterPlace> readDataCenters(SettingsReader& reader, const CommonSettings& common)
+{
+    std::vector<DataCenterPlace> places { { common.dataCenter, common.region } };
+    if (!reader.has("data_centers"))
+        return places;
+    for (const auto& item : reader.texts("data_centers")) {
+        const auto space = item.find(' ');
+        if (space == 0 || space == std::string::npos || space + 1 == item.size()) {
+            reader.addFault("data_centers", "each item must have the form \"DATA_CENTRE REGION\"");
+            continue;
+        }
+        const DataCenterPlace place { DataCenterId(item.substr(0, space)), RegionId(item.substr(space + 1)) };
+        if (place.dataCenter != common.dataCenter)
+            places.push_back(place);
+    }
+    return places;
+}
+
+LogLevel readLogLevel(SettingsReader& reader)
+{
+    if (!reader.has("log_level"))
+        return LogLevel::Info;
+    return levelNamed(reader.choice("log_level", { "info", "debug", "warning", "error" }));
+}
+
 CommonSettings readCommonSettings(SettingsReader& reader)
 {
     CommonSettings settings;
@@ -43,8 +68,7 @@
     settings.link = reader.address("link");
     settings.admin = reader.address("admin");
     settings.platform = readPlatform(reader);
-    if (reader.has("log_level"))
-        settings.logLevel = levelNamed(reader.choice("log_level", { "info", "debug", "warning", "error" }));
+    settings.logLevel = readLogLevel(reader);
     settings.drainTimeout = reader.milliseconds("drain_timeout_ms", kTimeoutRange, kDrainTimeout);
     return settings;
 }
--- a/src/hornbeamgate/settings/common_settings.hpp
+++ b/src/hornbeamgate/settings/common_settings.hpp
@@ -6,6 +6,14 @@
 
 namespace hornbeamgate {
 
+/// Data centre and the region in which it lies.
+struct DataCenterPlace {
+    DataCenterId dataCenter;
+    RegionId region;
+
+    bool operator==(const DataCenterPlace&) const = default;
+};
+
 /// Addresses of the platform's services.
 struct PlatformAddresses {
     SocketAddress log;
@@ -28,6 +36,12 @@
 /// Reads the common part out of the top-level object of `reader`.
 CommonSettings readCommonSettings(SettingsReader& reader);
 
+/// Reads `data_centers`, whose items have the form `DATA_CENTRE REGION`. The own data centre comes first in any case.
+std::vector<DataCenterPlace> readDataCenters(SettingsReader& reader, const CommonSettings& common);
+
+/// Reads `log_level`, which may be missing.
+LogLevel readLogLevel(SettingsReader& reader);
+
 /// Reads the whole file at `path`.
 Result<std::string, SettingsFault> readSettingsFile(const std::string& path);
 
--- a/src/hornbeamgate/settings/entry_settings.cpp
+++ b/src/hornbeamgate/settings/entry_settings.cpp
@@ -27,25 +27,6 @@
         return regions;
     }
 
-    /// Each item has the form `DATA_CENTRE REGION`.
-    std::vector<DataCenterPlace> readDataCenters(SettingsReader& reader, const CommonSettings& common)
-    {
-        std::vector<DataCenterPlace> places { { common.dataCenter, common.region } };
-        if (!reader.has("data_centers"))
-            return places;
-        for (const auto& item : reader.texts("data_centers")) {
-            const auto space = item.find(' ');
-            if (space == 0 || space == std::string::npos || space + 1 == item.size()) {
-                reader.addFault("data_centers", "each item must have the form \"DATA_CENTRE REGION\"");
-                continue;
-            }
-            const DataCenterPlace place { DataCenterId(item.substr(0, space)), RegionId(item.substr(space + 1)) };
-            if (place.dataCenter != common.dataCenter)
-                places.push_back(place);
-        }
-        return places;
-    }
-
     std::string readPepper(SettingsReader& reader)
     {
         auto pepper = reader.text("key_pepper");
--- a/src/hornbeamgate/settings/entry_settings.hpp
+++ b/src/hornbeamgate/settings/entry_settings.hpp
@@ -6,14 +6,6 @@
 
 namespace hornbeamgate {
 
-/// Data centre whose endpoints this daemon may choose.
-struct DataCenterPlace {
-    DataCenterId dataCenter;
-    RegionId region;
-
-    bool operator==(const DataCenterPlace&) const = default;
-};
-
 /// Settings of the entry daemon.
 struct EntrySettings {
     CommonSettings common;
--- /dev/null
+++ b/src/hornbeamgate/settings/gateway_settings.cpp
@@ -0,0 +1,58 @@
+#include "hornbeamgate/settings/gateway_settings.hpp"
+
+namespace hornbeamgate {
+
+namespace {
+
+    constexpr NumberRange kTimeoutRange { 1, 3'600'000 };
+    constexpr NumberRange kCountRange { 0, 1'000'000 };
+    /// SIGKILL follows SIGTERM after eight seconds on the smallest deployment, less the time to withdraw.
+    constexpr std::chrono::milliseconds kDrainTimeout { 7'000 };
+    constexpr std::chrono::milliseconds kRetryWindow { 10'000 };
+    constexpr double kRetryRatio = 0.1;
+    constexpr std::chrono::milliseconds kDutyLease { 3'000 };
+
+    GatewaySettings readGateway(SettingsReader& reader)
+    {
+        GatewaySettings settings;
+        settings.common.host = HostId(reader.text("host"));
+        settings.common.dataCenter = DataCenterId(reader.text("data_center"));
+        settings.common.region = RegionId(reader.text("region"));
+        settings.common.link = reader.address("peers");
+        settings.common.admin = reader.address("admin");
+        settings.common.logLevel = readLogLevel(reader);
+        settings.common.drainTimeout = reader.milliseconds("drain_timeout_ms", kTimeoutRange, kDrainTimeout);
+        settings.callers = reader.address("callers");
+        settings.readiness = reader.address("readiness");
+        settings.store = reader.address("store");
+        for (const auto& place : readDataCenters(reader, settings.common))
+            settings.regions.emplace(place.dataCenter, place.region);
+        settings.retries.ratio = reader.fraction("retry_ratio", kRetryRatio);
+        settings.retries.slack = static_cast<double>(reader.number("retry_slack", kCountRange, 0));
+        settings.retries.window = reader.milliseconds("retry_window_ms", kTimeoutRange, kRetryWindow);
+        settings.dutyLease = reader.milliseconds("duty_lease_ms", kTimeoutRange, kDutyLease);
+        return settings;
+    }
+
+} // namespace
+
+Result<GatewaySettings, std::vector<SettingsFault>> parseGatewaySettings(std::string_view text)
+{
+    auto reader = SettingsReader::create(text);
+    if (!reader)
+        return failure(std::vector { reader.error() });
+    auto settings = readGateway(*reader);
+    auto faults = reader->finish();
+    if (!faults.empty())
+        return failure(std::move(faults));
+    return settings;
+}
+
+std::vector<std::string> gatewaySettingsKeys()
+{
+    auto reader = SettingsReader::create("{}");
+    readGateway(*reader);
+    return reader->knownKeys();
+}
+
+} // namespace hornbeamgate
--- /dev/null
+++ b/src/hornbeamgate/settings/gateway_settings.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "hornbeamgate/gateway/retry_allowance.hpp"
+#include "hornbeamgate/settings/common_settings.hpp"
+
+#include <map>
+
+namespace hornbeamgate {
+
+/// Settings of the gateway daemon.
+struct GatewaySettings {
+    CommonSettings common; ///< `link` is where other daemons reach this one; the platform's addresses are unused
+    SocketAddress callers;
+    SocketAddress readiness;
+    SocketAddress store;
+    std::map<DataCenterId, RegionId> regions;
+    RetryLimits retries;
+    Duration dutyLease {}; ///< orders of two daemons to one engine are at least this far apart
+};
+
+/// Checks the text of a settings file; gives every fault in it.
+Result<GatewaySettings, std::vector<SettingsFault>> parseGatewaySettings(std::string_view text);
+
+/// Paths of all settings that the gateway daemon knows.
+std::vector<std::string> gatewaySettingsKeys();
+
+} // namespace hornbeamgate
--- a/src/hornbeamgate/settings/settings_reader.cpp
+++ b/src/hornbeamgate/settings/settings_reader.cpp
@@ -176,6 +176,18 @@
     return value->get<std::int64_t>();
 }
 
+double SettingsReader::fraction(std::string_view key, double fallback)
+{
+    const auto* value = m_state->find(key);
+    if (!value)
+        return fallback;
+    if (!value->is_number() || value->get<double>() < 0 || value->get<double>() > 1) {
+        m_state->addFault(key, "must be a number from 0 to 1");
+        return fallback;
+    }
+    return value->get<double>();
+}
+
 Duration SettingsReader::milliseconds(std::string_view key, NumberRange range, std::chrono::milliseconds fallback)
 {
     return std::chrono::milliseconds(number(key, range, fallback.count()));
--- a/src/hornbeamgate/settings/settings_reader.hpp
+++ b/src/hornbeamgate/settings/settings_reader.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hornbeamgate/base/result.hpp"
+#include "hornbeamgate/base/socket_address.hpp"
 #include "hornbeamgate/base/time.hpp"
 
 #include <cstdint>
@@ -17,15 +18,6 @@
     std::string detail;
 };
 
-/// Socket address by IP number.
-struct SocketAddress {
-    std::string ip;
-    std::uint16_t port = 0; ///< 0 asks the kernel for a free port
-
-    bool operator==(const SocketAddress&) const = default;
-    std::string text() const { return ip + ':' + std::to_string(port); }
-};
-
 /// Parses `ip:port`; the IP must be a number, never a name.
 Result<SocketAddress, std::string> parseSocketAddress(std::string_view text);
 
@@ -57,6 +49,8 @@
     std::string choice(std::string_view key, const std::vector<std::string>& choices);
     bool flag(std::string_view key, bool fallback);
     std::int64_t number(std::string_view key, NumberRange range, std::int64_t fallback);
+    /// Number from 0 to 1.
+    double fraction(std::string_view key, double fallback);
     Duration milliseconds(std::string_view key, NumberRange range, std::chrono::milliseconds fallback);
     SocketAddress address(std::string_view key);
     std::vector<std::string> texts(std::string_view key);
--- a/src/programs/hornbeamgate_agent.cpp
+++ b/src/programs/hornbeamgate_agent.cpp
@@ -7,5 +7,6 @@
 {
     constexpr DaemonProgram kProgram { "hornbeamgate-agent",
         "The process beside one endpoint. It runs what entry daemons order and guards the endpoint." };
-    return runDaemon<AgentDaemon>(argc, argv, kProgram, parseAgentSettings);
+    const auto create = [](const AgentSettings& settings, const DaemonArguments&) { return AgentDaemon::create(settings); };
+    return runDaemon(argc, argv, kProgram, parseAgentSettings, create);
 }
--- a/src/programs/hornbeamgated.cpp
+++ b/src/programs/hornbeamgated.cpp
@@ -7,5 +7,6 @@
 {
     constexpr DaemonProgram kProgram { "hornbeamgated",
         "The entry daemon. It checks keys, keeps rates, chooses endpoints and relays streams." };
-    return runDaemon<EntryDaemon>(argc, argv, kProgram, parseEntrySettings);
+    const auto create = [](const EntrySettings& settings, const DaemonArguments&) { return EntryDaemon::create(settings); };
+    return runDaemon(argc, argv, kProgram, parseEntrySettings, create);
 }
--- a/tests/config/fake_log.hpp
+++ b/tests/config/fake_log.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "hornbeamgate/platform/log_events.hpp"
+#include "hornbeamgate/event_log/log_events.hpp"
 
 #include <vector>
 
