--- a/src/hornbeamgate/gateway/weights_duty.cpp
+++ b/src/hornbeamgate/gateway/weights_duty.cpp
@@ -57,6 +57,8 @@
             if (known->second < target && !entry.isLeaving)
                 behind.push_back(&entry);
         }
+        // Targets may change faster than all engines load, so the oldest weights go first.
+        std::stable_sort(behind.begin(), behind.end(), [&model = model](const auto* left, const auto* right) { return left->weights.at(model) < right->weights.at(model); });
         for (const auto* entry : behind) {
             if (m_inProgress.size() >= mostAtOnce(engines))
                 break;
--- a/src/hornbeamgate/observability/log.cpp
+++ b/src/hornbeamgate/observability/log.cpp
@@ -46,6 +46,7 @@
         EventEntry { LogEvent::DependencyRegained, "dependency_regained", LogLevel::Info },
         EventEntry { LogEvent::RecordUnreadable, "record_unreadable", LogLevel::Warning },
         EventEntry { LogEvent::EndpointsChanged, "endpoints_changed", LogLevel::Info },
+        EventEntry { LogEvent::RateChanged, "rate_changed", LogLevel::Info },
         EventEntry { LogEvent::WeightsNamed, "weights_named", LogLevel::Info },
         EventEntry { LogEvent::WeightsOrdered, "weights_ordered", LogLevel::Info },
         EventEntry { LogEvent::DutyChanged, "duty_changed", LogLevel::Info },
--- a/src/hornbeamgate/observability/log.hpp
+++ b/src/hornbeamgate/observability/log.hpp
@@ -39,6 +39,7 @@
     DependencyRegained,
     RecordUnreadable,
     EndpointsChanged,
+    RateChanged,
     WeightsNamed,
     WeightsOrdered,
     DutyChanged,
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -47,6 +47,18 @@
         return kSchedules[static_cast<std::size_t>(topic)];
     }
 
+    void logRateChanges(const FleetConfig* before, const FleetConfig& after)
+    {
+        std::map<WorkspaceId, std::pair<double, double>> known;
+        for (const auto& workspace : before ? before->workspaces : std::vector<WorkspaceRule> {})
+            known[workspace.id] = { workspace.unitsPerSecond, workspace.burst };
+        for (const auto& workspace : after.workspaces) {
+            const std::pair limit { workspace.unitsPerSecond, workspace.burst };
+            if (known[workspace.id] != limit)
+                logEvent(LogEvent::RateChanged, { { "workspace", workspace.id.value() }, { "per_second", limit.first }, { "burst", limit.second }, { "config", after.version.value() } });
+        }
+    }
+
 } // namespace
 
 DirectoryTask::DirectoryTask(GatewayState& state, Directory& directory, DaemonEntry self)
@@ -173,6 +185,7 @@
     if (m_state.routes && config.version <= m_state.routes->config().version)
         return;
     logEvent(LogEvent::ConfigApplied, { { "version", config.version.value() }, { "routes", config.routes.size() }, { "workspaces", config.workspaces.size() } });
+    logRateChanges(m_state.routes ? &m_state.routes->config() : nullptr, config);
     m_state.rates.setLimits(config.workspaces, MonotonicClock::now());
     m_state.routes = std::make_shared<const RouteTable>(std::move(config));
 }
