--- a/src/hornbeamgate/gateway/endpoint_loads.cpp
+++ b/src/hornbeamgate/gateway/endpoint_loads.cpp
@@ -9,6 +9,8 @@
 
     /// Time in which the stated load of other daemons fades to half; some request lifetimes long.
     constexpr std::chrono::milliseconds kReportHalfLife { 400 };
+    /// Peers report several times a second; prompts are read within some hundred milliseconds.
+    constexpr std::chrono::milliseconds kPeerTokensKept { 600 };
     /// Weight of one send in the share of failures; ten sends make most of it.
     constexpr double kFailureWeight = 0.15;
     /// Failures in a row after which an endpoint is avoided; single failures are common.
@@ -20,9 +22,19 @@
 
 } // namespace
 
-void EndpointLoads::sent(const EndpointId& id, std::uint64_t number, MonotonicTime now)
+void EndpointLoads::sent(const EndpointId& id, std::uint64_t number, std::int64_t tokens, MonotonicTime now)
 {
-    m_endpoints[id].unanswered.emplace(number, now);
+    m_endpoints[id].unanswered.emplace(number, Send { now, tokens });
+}
+
+void EndpointLoads::answerBegan(const EndpointId& id, std::uint64_t number)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end())
+        return;
+    const auto send = found->second.unanswered.find(number);
+    if (send != found->second.unanswered.end())
+        send->second.unreadTokens = 0;
 }
 
 void EndpointLoads::finished(const EndpointId& id, std::uint64_t number, SendOutcome outcome, MonotonicTime now)
@@ -81,6 +93,38 @@
     return static_cast<double>(state.unanswered.size()) + state.othersAtReport * std::exp2(-halves);
 }
 
+std::int64_t EndpointLoads::unreadTokens(const EndpointId& id, MonotonicTime now) const
+{
+    std::int64_t tokens = 0;
+    if (const auto found = m_endpoints.find(id); found != m_endpoints.end()) {
+        for (const auto& [number, send] : found->second.unanswered)
+            tokens += send.unreadTokens;
+    }
+    for (const auto& [peer, reported] : m_peerTokens) {
+        const auto found = reported.tokens.find(id);
+        if (found != reported.tokens.end() && now < reported.reportedAt + kPeerTokensKept)
+            tokens += found->second;
+    }
+    return tokens;
+}
+
+std::map<EndpointId, std::int64_t> EndpointLoads::ownUnreadTokens() const
+{
+    std::map<EndpointId, std::int64_t> tokens;
+    for (const auto& [id, state] : m_endpoints) {
+        for (const auto& [number, send] : state.unanswered) {
+            if (send.unreadTokens > 0)
+                tokens[id] += send.unreadTokens;
+        }
+    }
+    return tokens;
+}
+
+void EndpointLoads::peerUnreadTokens(const HostId& peer, const std::map<EndpointId, std::int64_t>& tokens, MonotonicTime now)
+{
+    m_peerTokens[peer] = { tokens, now };
+}
+
 double EndpointLoads::failureShare(const EndpointId& id) const
 {
     const auto found = m_endpoints.find(id);
@@ -93,13 +137,19 @@
     return found != m_endpoints.end() && (now < found->second.avoidedUntil || now < found->second.pausedUntil);
 }
 
+bool EndpointLoads::isFailing(const EndpointId& id, MonotonicTime now) const
+{
+    const auto found = m_endpoints.find(id);
+    return found != m_endpoints.end() && now < found->second.avoidedUntil;
+}
+
 Duration EndpointLoads::oldestUnanswered(const EndpointId& id, MonotonicTime now) const
 {
     const auto found = m_endpoints.find(id);
     if (found == m_endpoints.end() || found->second.unanswered.empty())
         return {};
     // Numbers grow with time, so the first is the oldest.
-    return now - found->second.unanswered.begin()->second;
+    return now - found->second.unanswered.begin()->second.sentAt;
 }
 
 void EndpointLoads::noteFailure(State& state, MonotonicTime now)
--- a/src/hornbeamgate/gateway/endpoint_loads.hpp
+++ b/src/hornbeamgate/gateway/endpoint_loads.hpp
@@ -32,8 +32,10 @@
 /// Load it answers: endpoints that fail or hold a part of their requests while their health check passes.
 class EndpointLoads {
 public:
-    /// Notes a send; the number names it in `finished`.
-    void sent(const EndpointId& id, std::uint64_t number, MonotonicTime now);
+    /// Notes a send of a request with `tokens` of prompt to read; the number names it from here on.
+    void sent(const EndpointId& id, std::uint64_t number, std::int64_t tokens, MonotonicTime now);
+    /// The answer began, so the prompt has been read.
+    void answerBegan(const EndpointId& id, std::uint64_t number);
     void finished(const EndpointId& id, std::uint64_t number, SendOutcome outcome, MonotonicTime now);
     void reported(const EndpointId& id, const LoadReport& report, MonotonicTime now);
     /// No connection to the endpoint could be opened.
@@ -45,18 +47,34 @@
 
     /// Requests that the endpoint is estimated to hold.
     double load(const EndpointId& id, MonotonicTime now) const;
+    /// Prompt tokens that wait to be read there, of this daemon's sends and of what others report.
+    std::int64_t unreadTokens(const EndpointId& id, MonotonicTime now) const;
+    /// Prompt tokens of this daemon's sends that wait to be read, by endpoint.
+    std::map<EndpointId, std::int64_t> ownUnreadTokens() const;
+    /// Takes another daemon's tokens that wait to be read. They are forgotten unless reported again soon.
+    void peerUnreadTokens(const HostId& peer, const std::map<EndpointId, std::int64_t>& tokens, MonotonicTime now);
     /// Share of recent sends that failed, from 0 to 1.
     double failureShare(const EndpointId& id) const;
     /// True while no request should go there if another endpoint can take it.
     bool isAvoided(const EndpointId& id, MonotonicTime now) const;
+    /// True after failures in a row, for a while.
+    bool isFailing(const EndpointId& id, MonotonicTime now) const;
     /// Time since the oldest unanswered send, or zero.
     Duration oldestUnanswered(const EndpointId& id, MonotonicTime now) const;
 
     void forget(const EndpointId& id) { m_endpoints.erase(id); }
 
 private:
+    struct Send {
+        MonotonicTime sentAt;
+        std::int64_t unreadTokens = 0;
+    };
+    struct PeerTokens {
+        std::map<EndpointId, std::int64_t> tokens;
+        MonotonicTime reportedAt {};
+    };
     struct State {
-        std::map<std::uint64_t, MonotonicTime> unanswered;
+        std::map<std::uint64_t, Send> unanswered;
         double othersAtReport = 0;
         MonotonicTime reportedAt {};
         double failureShare = 0;
@@ -68,6 +86,7 @@
     void noteFailure(State& state, MonotonicTime now);
 
     std::map<EndpointId, State> m_endpoints;
+    std::map<HostId, PeerTokens> m_peerTokens;
 };
 
 } // namespace hornbeamgate
--- a/src/hornbeamgate/gateway/fleet_config.hpp
+++ b/src/hornbeamgate/gateway/fleet_config.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hornbeamgate/base/ids.hpp"
+#include "hornbeamgate/base/socket_address.hpp"
 #include "hornbeamgate/base/time.hpp"
 
 #include <chrono>
@@ -42,6 +43,12 @@
     std::optional<std::int64_t> cacheTokens; ///< set for model engines
 };
 
+/// Store of cached blocks from which engines fetch, and to which they save.
+struct BlockStore {
+    SocketAddress address;
+    DataCenterId dataCenter;
+};
+
 /// Customer with its keys and its limit over all daemons.
 struct WorkspaceRule {
     WorkspaceId id;
@@ -68,6 +75,7 @@
     std::vector<RouteRule> routes;
     std::vector<ServiceRule> services;
     std::vector<WorkspaceRule> workspaces;
+    std::vector<BlockStore> blockStores;
     CallerLimits limits;
 };
 
--- a/src/hornbeamgate/gateway/peer_report.cpp
+++ b/src/hornbeamgate/gateway/peer_report.cpp
@@ -17,8 +17,14 @@
     json loading = json::array();
     for (const auto& engine : report.loading)
         loading.push_back(json::array({ engine.endpoint.value(), engine.remaining.count() }));
+    json loaded = json::array();
+    for (const auto& weights : report.loaded)
+        loaded.push_back(json::array({ weights.endpoint.value(), weights.model.value(), weights.version.value() }));
+    json unread = json::array();
+    for (const auto& [endpoint, tokens] : report.unreadTokens)
+        unread.push_back(json::array({ endpoint.value(), tokens }));
     return toCbor(json::array({ report.host.value(), report.incarnation.value(), std::move(ends), std::move(drawn), std::move(loading),
-        report.address.ip, report.address.port }));
+        report.address.ip, report.address.port, std::move(loaded), std::move(unread) }));
 }
 
 Result<PeerReport, CodecError> decodePeerReport(BytesView octets)
@@ -37,6 +43,10 @@
         for (const auto& item : value->at(4))
             report.loading.push_back({ EndpointId(item.at(0).get<std::string>()), std::chrono::milliseconds(item.at(1).get<std::int64_t>()) });
         report.address = { value->at(5).get<std::string>(), value->at(6).get<std::uint16_t>() };
+        for (const auto& item : value->at(7))
+            report.loaded.push_back({ EndpointId(item.at(0).get<std::string>()), ModelId(item.at(1).get<std::string>()), WeightsVersion(item.at(2).get<std::uint64_t>()) });
+        for (const auto& item : value->at(8))
+            report.unreadTokens[EndpointId(item.at(0).get<std::string>())] = item.at(1).get<std::int64_t>();
         return report;
     } catch (const json::exception& error) {
         return failure(CodecError { error.what() });
--- a/src/hornbeamgate/gateway/peer_report.hpp
+++ b/src/hornbeamgate/gateway/peer_report.hpp
@@ -15,6 +15,13 @@
     std::chrono::milliseconds remaining {};
 };
 
+/// Weights that an engine has just loaded.
+struct LoadedWeights {
+    EndpointId endpoint;
+    ModelId model;
+    WeightsVersion version;
+};
+
 /// What a daemon tells the others several times a second.
 struct PeerReport {
     HostId host;
@@ -23,6 +30,8 @@
     std::array<LogOffset, kDirectoryTopics> directoryEnds {};
     DrawnUnits drawn;
     std::vector<LoadingEngine> loading;
+    std::vector<LoadedWeights> loaded;
+    std::map<EndpointId, std::int64_t> unreadTokens; ///< prompt tokens sent to engines and not read yet
 };
 
 Bytes encodePeerReport(const PeerReport& report);
--- a/src/hornbeamgate/gateway/placement.hpp
+++ b/src/hornbeamgate/gateway/placement.hpp
@@ -45,6 +45,10 @@
 
 struct Placement {
     std::optional<EndpointId> endpoint;
+    bool isSharing = false; ///< enough of the prompt is shared to be worth moving
+    /// Endpoint that may keep shared blocks which the chosen one lacks.
+    std::optional<EndpointId> blockSource;
+    std::int64_t tokensToRead = 0; ///< of the prompt, beyond what the endpoint is expected to keep
     PlacementRefusal refusal = PlacementRefusal::NoEndpoint;
     std::chrono::milliseconds expectedWait {}; ///< until the first answer of the best endpoint
 };
@@ -53,7 +57,8 @@
 ///
 /// A prompt's home is the endpoint that rendezvous hashing gives for its shared parts, the same in every daemon; blocks
 /// are expected there and where this daemon sent the same parts lately. Load moves a request elsewhere as soon as
-/// waiting at the home costs more than reading the prompt again.
+/// waiting at the home costs more than fetching the blocks from there. Engines with newer weights have homes of their
+/// own, since blocks of other weights are of no use.
 ///
 /// Load it answers: long prompts over few prefixes with a hot one, next to many short prompts.
 class Placer {
@@ -72,8 +77,25 @@
     struct Shared {
         std::uint64_t key = 0;
         std::int64_t tokens = 0;
+        std::int64_t ownTokens = 0; ///< of the request alone
+        bool isWorthMoving() const;
     };
+    /// Endpoints with equal weights in the order of rendezvous hashing for one prompt, the home first.
+    using Ranking = std::vector<const EndpointEntry*>;
+    using Rankings = std::map<WeightsVersion, Ranking>;
+    struct Candidate {
+        const EndpointEntry* entry = nullptr;
+        Duration waiting {}; ///< until the first answer
+        Duration cost {}; ///< what is compared
+    };
+
+    static Rankings rank(const PlacementDemand& demand, const Shared& shared, const EndpointRoster& roster, const EndpointLoads& loads, MonotonicTime now);
+    Candidate estimate(const EndpointEntry& entry, const PlacementDemand& demand, const Shared& shared, const Rankings& rankings, const EndpointLoads& loads, MonotonicTime now) const;
+    Duration missingBlocksCost(const EndpointEntry& entry, const Shared& shared, const Ranking& ranking, MonotonicTime now) const;
+    static const EndpointEntry* blockSource(const EndpointEntry& chosen, const Ranking& ranking, const EndpointLoads& loads, MonotonicTime now);
+    void noteSent(const EndpointId& endpoint, const Shared& shared, MonotonicTime now);
     static Shared sharedPrefix(const PlacementDemand& demand);
+    static WeightsVersion weightsOf(const EndpointEntry& entry, const PlacementDemand& demand);
     Duration travelCost(const EndpointEntry& entry) const;
     Duration waitingTime(const EndpointEntry& entry, const EndpointLoads& loads, MonotonicTime now) const;
     bool holdsBlocks(const EndpointId& id, std::uint64_t key, MonotonicTime now) const;
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -55,7 +55,7 @@
         for (const auto& workspace : after.workspaces) {
             const std::pair limit { workspace.unitsPerSecond, workspace.burst };
             if (known[workspace.id] != limit)
-                logEvent(LogEvent::RateChanged, { { "workspace", workspace.id.value() }, { "per_second", limit.first }, { "burst", limit.second }, { "config", after.version.value() } });
+                logEvent(LogEvent::RateChanged, { { "workspace", workspace.id.value() }, { "per_second", limit.first }, { "burst", limit.second }, { "priority", workspace.priority.value_or(-1) }, { "isolated", workspace.isIsolated ? 1 : 0 }, { "config", after.version.value() } });
         }
     }
 
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -36,6 +36,8 @@
     /// Time in which most refused callers return, spread so that they do not come together.
     constexpr milliseconds kLeastRetryAfter { 100 };
     constexpr milliseconds kUnknownRetryAfter { 400 };
+    /// Priorities that routes use; a workspace's priority goes before the route's.
+    constexpr int kRoutePriorities = 3;
     /// Part of the latency objective after which a request that may run again goes to another endpoint.
     constexpr double kOverduePart = 0.6;
     constexpr double kOverduePartOfStream = 1.25;
@@ -128,8 +130,7 @@
     demand.model = m_facts.model;
     demand.tried = m_tried;
     demand.timeLeft = m_deadline - now;
-    if (m_workspace && m_workspace->isIsolated)
-        demand.cacheDomain = m_workspace->id.value();
+    demand.cacheDomain = cacheDomain();
     if (m_facts.model) {
         const auto& targets = m_state.duty.targets();
         const auto target = targets.find(*m_facts.model);
@@ -145,7 +146,7 @@
     const auto placement = m_state.placer.choose(placementDemand(now), m_state.roster, m_state.loads, now);
     const auto* endpoint = placement.endpoint ? m_state.roster.find(*placement.endpoint) : nullptr;
     if (endpoint) {
-        send(*endpoint);
+        send(*endpoint, placement);
         return;
     }
     if (m_mayHaveRun) {
@@ -156,20 +157,56 @@
     refuse({ kUnavailable, isBusy ? "all endpoints busy" : "no endpoint", spreadRetry(isBusy ? placement.expectedWait / 2 : kUnknownRetryAfter) });
 }
 
-ForwardFacts GatewayRequest::forwardFacts(const EndpointEntry& endpoint, MonotonicTime now) const
+const BlockStore* GatewayRequest::nearbyBlockStore(const EndpointEntry& endpoint) const
+{
+    const auto regionOf = [this](const DataCenterId& dataCenter) {
+        const auto found = m_state.settings.regions.find(dataCenter);
+        return found == m_state.settings.regions.end() ? RegionId() : found->second;
+    };
+    for (const auto& store : m_routes->config().blockStores) {
+        if (regionOf(store.dataCenter) == regionOf(endpoint.dataCenter))
+            return &store;
+    }
+    return nullptr;
+}
+
+int GatewayRequest::urgency() const
+{
+    const int ofWorkspace = m_workspace ? m_workspace->priority.value_or(0) : 0;
+    return ofWorkspace * kRoutePriorities + std::min(m_route->priority, kRoutePriorities - 1);
+}
+
+std::string GatewayRequest::cacheDomain() const
+{
+    return m_workspace && m_workspace->isIsolated ? m_workspace->id.value() : std::string();
+}
+
+ForwardFacts GatewayRequest::forwardFacts(const EndpointEntry& endpoint, const Placement& placement, MonotonicTime now) const
 {
     ForwardFacts facts;
     facts.endpoint = endpoint.id;
     if (m_workspace)
         facts.workspace = m_workspace->id;
     facts.timeLeft = std::chrono::floor<milliseconds>(m_deadline - now);
-    facts.priority = m_workspace && m_workspace->priority ? *m_workspace->priority : m_route->priority;
-    facts.cacheDomain = m_workspace && m_workspace->isIsolated ? m_workspace->id.value() : std::string();
+    facts.priority = urgency();
+    facts.cacheDomain = cacheDomain();
     facts.lastEventId = m_relay.lastId();
+    const auto* source = placement.blockSource ? m_state.roster.find(*placement.blockSource) : nullptr;
+    const auto* store = nearbyBlockStore(endpoint);
+    const auto weights = m_facts.model ? endpoint.weights.find(*m_facts.model) : endpoint.weights.end();
+    const bool hasSource = placement.isSharing && (source || store);
+    if (hasSource && weights != endpoint.weights.end()) {
+        // Blocks move between engines only in a domain of their weights, and only into runs on these weights.
+        facts.blockSource = store ? store->address : source->address;
+        if (store)
+            facts.blockStore = store->address;
+        facts.requiredWeights = weights->second;
+        facts.cacheDomain += '@' + std::to_string(weights->second.value());
+    }
     return facts;
 }
 
-void GatewayRequest::send(const EndpointEntry& endpoint)
+void GatewayRequest::send(const EndpointEntry& endpoint, const Placement& placement)
 {
     const auto now = MonotonicClock::now();
     m_endpoint = endpoint.id;
@@ -180,13 +217,15 @@
     ++m_sends;
     m_answerHead.reset();
     m_answerBody.clear();
-    m_isRelaying = false;
+    m_answerMode = AnswerMode::Held;
     m_relay.startRun();
-    m_state.loads.sent(endpoint.id, m_sendNumber, now);
+    m_state.loads.sent(endpoint.id, m_sendNumber, placement.tokensToRead, now);
+    const auto facts = forwardFacts(endpoint, placement, now);
+    m_requiredWeights = facts.requiredWeights;
 
     ExchangeRequest request;
     request.peer = endpoint.address;
-    request.text = requestText(m_state.wire.encodeForEndpoint(m_message.head, forwardFacts(endpoint, now)), m_message.body);
+    request.text = requestText(m_state.wire.encodeForEndpoint(m_message.head, facts), m_message.body);
     request.isHeadRequest = m_message.head.method == "HEAD";
     request.connectDeadline = std::min(now + kConnectTimeout, m_deadline);
     request.isOwnAnswer = [this](const HttpResponseHead& head) { return m_state.wire.decodeAnswer(head).requestId == m_facts.requestId; };
@@ -207,23 +246,26 @@
         m_state.loads.reported(m_endpoint, *m_answerFacts.load, now);
     if (m_answerFacts.weights && m_facts.model)
         m_state.roster.noteWeights(m_endpoint, *m_facts.model, *m_answerFacts.weights);
-    m_isRelaying = m_route->isStreaming && head.status / kStatusClass == kSuccessClass && m_answerFacts.isSigned;
+    if (m_route->isStreaming && head.status / kStatusClass == kSuccessClass && m_answerFacts.isSigned)
+        m_answerMode = AnswerMode::Relayed;
     m_answerHead = std::move(head);
 }
 
 void GatewayRequest::onBody(std::string_view octets)
 {
-    if (m_isRelaying) {
+    if (m_answerMode == AnswerMode::Relayed) {
         relayEvents(octets);
         return;
     }
-    if (m_hasBegunAnswer) {
+    if (m_answerMode == AnswerMode::Passed) {
         m_caller.sendPiece(octets);
         return;
     }
     m_answerBody += octets;
-    if (m_answerBody.size() > kMostHeldAnswer && m_answerFacts.isSigned && m_answerHead->status / kStatusClass == kSuccessClass) {
-        beginRelay();
+    const bool isSuccess = m_answerFacts.isSigned && m_answerHead->status / kStatusClass == kSuccessClass;
+    if (m_answerBody.size() > kMostHeldAnswer && isSuccess && !m_hasBegunAnswer) {
+        m_answerMode = AnswerMode::Passed;
+        beginAnswer();
         m_caller.sendPiece(std::exchange(m_answerBody, {}));
     }
 }
@@ -239,9 +281,10 @@
     if (events->empty())
         return;
     m_overdueTimer.clear();
+    m_state.loads.answerBegan(m_endpoint, m_sendNumber);
     if (!m_hasBegunAnswer) {
         m_state.metrics.observe(Latency::TimeToFirstPiece, MonotonicClock::now() - m_message.headArrived);
-        beginRelay();
+        beginAnswer();
     }
     m_state.metrics.add(Counter::StreamPieces);
     m_caller.sendPiece(*events);
@@ -261,7 +304,7 @@
         m_exchange->pauseReading(false);
 }
 
-void GatewayRequest::beginRelay()
+void GatewayRequest::beginAnswer()
 {
     m_hasBegunAnswer = true;
     auto fields = m_answerHead->fields;
@@ -272,29 +315,30 @@
 
 void GatewayRequest::onComplete()
 {
-    if (!m_isRelaying && !m_hasBegunAnswer) {
-        settleAnswer();
+    if (m_answerMode == AnswerMode::Held) {
+        settleHeldAnswer();
         return;
     }
-    const auto rest = m_relay.takeRest();
     if (!m_hasBegunAnswer)
-        beginRelay();
-    m_caller.sendPiece(rest);
+        beginAnswer();
+    m_caller.sendPiece(m_relay.takeRest());
     m_caller.finishAnswer();
+    m_state.placer.noteServiceTime(m_service, MonotonicClock::now() - m_sentAt);
     endSend(SendOutcome::Served);
     finish("served", m_answerHead->status);
 }
 
-void GatewayRequest::settleAnswer()
+void GatewayRequest::settleHeldAnswer()
 {
     const int status = m_answerHead->status;
     if (m_answerFacts.isNotRun) {
         onNotRun();
         return;
     }
-    if (!m_answerFacts.isSigned) {
+    // A stream that has begun cannot end in another answer.
+    if (!m_answerFacts.isSigned || m_hasBegunAnswer) {
         endSend(SendOutcome::Failed);
-        onMayHaveRun("an answer without a signature");
+        onMayHaveRun(m_hasBegunAnswer ? "no stream to go on with" : "an answer without a signature");
         return;
     }
     if (status < kServerErrors && !isPromiseNotRun(status)) {
@@ -318,10 +362,14 @@
 
 void GatewayRequest::onNotRun()
 {
-    // An address that another endpoint has taken over tells nothing about that endpoint's health.
-    const bool isGone = m_answerHead->status == kMisdirected;
+    const bool isMisdirected = m_answerHead->status == kMisdirected;
+    const bool hasOtherWeights = isMisdirected && m_requiredWeights && m_answerFacts.endpoint == m_endpoint;
     endSend(SendOutcome::Shed);
-    if (isGone)
+    if (hasOtherWeights) {
+        // The same endpoint may be asked again once its weights are known.
+        m_tried.erase(m_endpoint);
+        m_state.loads.pauseUntil(m_endpoint, MonotonicClock::now() + kLeastRetryAfter);
+    } else if (isMisdirected)
         m_state.loads.unreachable(m_endpoint, MonotonicClock::now());
     else
         m_state.loads.pauseUntil(m_endpoint, MonotonicClock::now() + kLeastRetryAfter);
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -20,6 +20,13 @@
     void clientLeft() override;
 
 private:
+    /// What becomes of an endpoint's answer.
+    enum class AnswerMode {
+        Held, ///< until it is complete, so that another one can take its place
+        Relayed, ///< event by event
+        Passed, ///< as it comes, because it is too large to hold
+    };
+
     /// Why the request ends without an endpoint's answer.
     struct Refusal {
         int status;
@@ -30,8 +37,13 @@
     bool identify();
     bool drawUnits();
     void sendNext();
-    void send(const EndpointEntry& endpoint);
-    ForwardFacts forwardFacts(const EndpointEntry& endpoint, MonotonicTime now) const;
+    void send(const EndpointEntry& endpoint, const Placement& placement);
+    ForwardFacts forwardFacts(const EndpointEntry& endpoint, const Placement& placement, MonotonicTime now) const;
+    std::string cacheDomain() const;
+    /// 0 is the most urgent.
+    int urgency() const;
+    /// Store from which the endpoint fetches faster than it reads; not one in another region.
+    const BlockStore* nearbyBlockStore(const EndpointEntry& endpoint) const;
     PlacementDemand placementDemand(MonotonicTime now) const;
 
     void onHead(HttpResponseHead head);
@@ -43,8 +55,8 @@
     void onCallerSlow();
 
     void relayEvents(std::string_view octets);
-    void beginRelay();
-    void settleAnswer();
+    void beginAnswer();
+    void settleHeldAnswer();
     void onNotRun();
     void onMayHaveRun(std::string_view reason);
     bool mayRepeat();
@@ -77,12 +89,13 @@
     std::uint64_t m_sendNumber = 0;
     MonotonicTime m_sentAt {};
     bool m_isSending = false;
+    std::optional<WeightsVersion> m_requiredWeights;
     std::unique_ptr<HttpExchange> m_exchange;
     std::optional<HttpResponseHead> m_answerHead;
     AnswerFacts m_answerFacts;
     std::string m_answerBody;
     EventRelay m_relay { std::nullopt };
-    bool m_isRelaying = false;
+    AnswerMode m_answerMode = AnswerMode::Held;
 
     Timer m_deadlineTimer;
     Timer m_overdueTimer;
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -16,6 +16,8 @@
     /// Added for each daemon, so that the messages a daemon handles in a second do not grow with the fleet.
     constexpr milliseconds kReportIntervalPerPeer { 12 };
     constexpr milliseconds kMostReportInterval { 1000 };
+    /// Time for which finished loads are reported; some reports may be lost.
+    constexpr milliseconds kLoadedReported { 1500 };
     constexpr milliseconds kFetchTimeout { 1000 };
     constexpr std::string_view kRecordsPath = "/records/";
     constexpr int kNotFound = 404;
@@ -83,6 +85,10 @@
     std::erase_if(m_loading, [now](const auto& entry) { return entry.second <= now; });
     for (const auto& [endpoint, end] : m_loading)
         report.loading.push_back({ endpoint, std::chrono::ceil<milliseconds>(end - now) });
+    std::erase_if(m_loaded, [now](const auto& entry) { return entry.second <= now; });
+    for (const auto& [weights, end] : m_loaded)
+        report.loaded.push_back(weights);
+    report.unreadTokens = m_state.loads.ownUnreadTokens();
     const auto octets = encodePeerReport(report);
     for (const auto& address : m_state.peers.addresses())
         m_socket->send(address, asText(octets));
@@ -96,6 +102,26 @@
     sendReport();
 }
 
+void PeerTask::announceLoaded(const LoadedWeights& weights)
+{
+    m_loading.erase(weights.endpoint);
+    m_loaded.emplace_back(weights, MonotonicClock::now() + kLoadedReported);
+    takeLoaded(weights);
+    sendReport();
+}
+
+void PeerTask::takeLoaded(const LoadedWeights& weights)
+{
+    const auto* known = m_state.roster.find(weights.endpoint);
+    if (!known)
+        return;
+    const auto version = known->weights.find(weights.model);
+    if (version == known->weights.end() || version->second >= weights.version)
+        return;
+    m_state.roster.noteWeights(weights.endpoint, weights.model, weights.version);
+    m_state.loads.resume(weights.endpoint);
+}
+
 void PeerTask::onDatagram(std::string_view octets)
 {
     const auto report = decodePeerReport(asBytes(octets));
@@ -107,6 +133,9 @@
     m_state.rates.peerReported(report->host, report->incarnation, report->drawn, now);
     for (const auto& engine : report->loading)
         m_state.loads.pauseUntil(engine.endpoint, now + engine.remaining);
+    for (const auto& weights : report->loaded)
+        takeLoaded(weights);
+    m_state.loads.peerUnreadTokens(report->host, report->unreadTokens, now);
     fetchNewer(*report);
 }
 
--- a/src/hornbeamgate/runtime/gateway/peer_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.hpp
@@ -17,6 +17,8 @@
     void start();
     /// Keeps requests of all daemons away from an engine that is about to load weights.
     void announceLoading(const EndpointId& endpoint, Duration time);
+    /// Tells all daemons that an engine has its weights in place and takes requests again.
+    void announceLoaded(const LoadedWeights& weights);
 
 private:
     PeerTask(GatewayState& state, DirectoryTask& directory, DaemonEntry self);
@@ -24,6 +26,7 @@
     void report();
     void sendReport();
     void onDatagram(std::string_view octets);
+    void takeLoaded(const LoadedWeights& weights);
     void fetchNewer(const PeerReport& report);
     void fetch(DirectoryTopic topic, const SocketAddress& peer);
     HttpSimpleAnswer answer(const HttpRequestMessage& message) const;
@@ -37,6 +40,7 @@
     HttpCalls m_calls { m_connections };
     std::array<bool, kDirectoryTopics> m_isFetching {};
     std::map<EndpointId, MonotonicTime> m_loading;
+    std::vector<std::pair<LoadedWeights, MonotonicTime>> m_loaded; ///< with the time until which it is reported
     Timer m_timer;
 };
 
--- a/src/hornbeamgate/runtime/gateway/weights_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/weights_task.cpp
@@ -91,10 +91,9 @@
         settle(endpoint, report.error().detail, kRetryAfterFailure);
         return;
     }
-    for (const auto& [model, version] : report->weights)
-        m_state.roster.noteWeights(endpoint, model, version);
     const auto known = report->weights.find(run->order.model);
     if (known != report->weights.end() && known->second >= run->order.version) {
+        m_peers.announceLoaded({ endpoint, known->first, known->second });
         m_state.loads.resume(endpoint);
         settle(endpoint, "in place", {});
         return;
--- a/src/hornbeamgate/runtime/gateway/wire_format.hpp
+++ b/src/hornbeamgate/runtime/gateway/wire_format.hpp
@@ -31,6 +31,9 @@
     std::optional<int> priority;
     std::string cacheDomain;
     std::optional<std::uint64_t> lastEventId;
+    std::optional<SocketAddress> blockSource; ///< where it fetches shared blocks that it lacks
+    std::optional<SocketAddress> blockStore; ///< where it saves the blocks that it reads
+    std::optional<WeightsVersion> requiredWeights; ///< it must not run the request on others
 };
 
 /// What an endpoint's answer says beside its status and body.
@@ -38,6 +41,7 @@
     bool isSigned = false; ///< it comes from an endpoint, not from something in between
     bool isNotRun = false; ///< the endpoint did not run the request and never will
     std::string requestId;
+    EndpointId endpoint; ///< empty if it does not say
     std::optional<LoadReport> load;
     std::optional<WeightsVersion> weights;
 };
