Keep one holder of the weights duty, back off from engines that fail, leave stragglers out

Cause: every daemon stayed in the duty group, so each one that came or went moved the duty and cost its lease; engines that were gone took a place in every turn. Ruled out: slow loads; an engine is done 1.2 to 1.6 s after its order.

--- a/src/hornbeamgate/gateway/peer_report.cpp
+++ b/src/hornbeamgate/gateway/peer_report.cpp
@@ -24,7 +24,7 @@
     for (const auto& [endpoint, tokens] : report.unreadTokens)
         unread.push_back(json::array({ endpoint.value(), tokens }));
     return toCbor(json::array({ report.host.value(), report.incarnation.value(), std::move(ends), std::move(drawn), std::move(loading),
-        report.address.ip, report.address.port, std::move(loaded), std::move(unread) }));
+        report.address.ip, report.address.port, std::move(loaded), std::move(unread), report.holdsDuty }));
 }
 
 Result<PeerReport, CodecError> decodePeerReport(BytesView octets)
@@ -47,6 +47,7 @@
             report.loaded.push_back({ EndpointId(item.at(0).get<std::string>()), ModelId(item.at(1).get<std::string>()), WeightsVersion(item.at(2).get<std::uint64_t>()) });
         for (const auto& item : value->at(8))
             report.unreadTokens[EndpointId(item.at(0).get<std::string>())] = item.at(1).get<std::int64_t>();
+        report.holdsDuty = value->at(9).get<bool>();
         return report;
     } catch (const json::exception& error) {
         return failure(CodecError { error.what() });
--- a/src/hornbeamgate/gateway/peer_report.hpp
+++ b/src/hornbeamgate/gateway/peer_report.hpp
@@ -28,6 +28,7 @@
     Incarnation incarnation;
     SocketAddress address; ///< where the sender takes reports
     std::array<LogOffset, kDirectoryTopics> directoryEnds {};
+    bool holdsDuty = false; ///< it gives the weights orders
     DrawnUnits drawn;
     std::vector<LoadingEngine> loading;
     std::vector<LoadedWeights> loaded;
--- a/src/hornbeamgate/gateway/placement.cpp
+++ b/src/hornbeamgate/gateway/placement.cpp
@@ -69,10 +69,13 @@
 {
     const auto shared = sharedPrefix(demand);
     const auto rankings = rank(demand, shared, roster, loads, now);
+    const bool excludesOldWeights = areOldWeightsExcluded(demand, roster);
     std::optional<Candidate> best;
     for (const auto& [id, entry] : roster.entries()) {
         if (entry.service != demand.service || entry.isLeaving || demand.tried.contains(id))
             continue;
+        if (excludesOldWeights && weightsOf(entry, demand) < demand.oldestWeights)
+            continue;
         const auto candidate = estimate(entry, demand, shared, rankings, loads, now);
         if (!best || candidate.cost < best->cost)
             best = candidate;
@@ -99,6 +102,18 @@
     return placement;
 }
 
+bool Placer::areOldWeightsExcluded(const PlacementDemand& demand, const EndpointRoster& roster)
+{
+    // While most engines lag, as in an outage of the store, leaving them out would refuse most requests.
+    std::size_t current = 0;
+    std::size_t old = 0;
+    for (const auto& [id, entry] : roster.entries()) {
+        if (entry.service == demand.service && !entry.isLeaving)
+            ++(weightsOf(entry, demand) < demand.oldestWeights ? old : current);
+    }
+    return current > old;
+}
+
 Placer::Rankings Placer::rank(const PlacementDemand& demand, const Shared& shared, const EndpointRoster& roster, const EndpointLoads& loads, MonotonicTime now)
 {
     Rankings rankings;
--- a/src/hornbeamgate/gateway/placement.hpp
+++ b/src/hornbeamgate/gateway/placement.hpp
@@ -26,6 +26,7 @@
     std::string cacheDomain; ///< requests of different domains share no blocks
     std::optional<ModelId> model;
     WeightsVersion newestWeights; ///< of the model
+    WeightsVersion oldestWeights; ///< of the model, that may still be used if most endpoints have it
     std::set<EndpointId> tried; ///< endpoints that the request was sent to
     Duration timeLeft {};
 };
@@ -91,6 +92,7 @@
 
     static Rankings rank(const PlacementDemand& demand, const Shared& shared, const EndpointRoster& roster, const EndpointLoads& loads, MonotonicTime now);
     Candidate estimate(const EndpointEntry& entry, const PlacementDemand& demand, const Shared& shared, const Rankings& rankings, const EndpointLoads& loads, MonotonicTime now) const;
+    static bool areOldWeightsExcluded(const PlacementDemand& demand, const EndpointRoster& roster);
     Duration missingBlocksCost(const EndpointEntry& entry, const Shared& shared, const Ranking& ranking, MonotonicTime now) const;
     static const EndpointEntry* blockSource(const EndpointEntry& chosen, const Ranking& ranking, const EndpointLoads& loads, MonotonicTime now);
     void noteSent(const EndpointId& endpoint, const Shared& shared, MonotonicTime now);
--- a/src/hornbeamgate/gateway/weights_duty.cpp
+++ b/src/hornbeamgate/gateway/weights_duty.cpp
@@ -7,7 +7,13 @@
 namespace {
 
     /// One engine in this many loads at once; more slow each other down and leave too few to serve.
-    constexpr std::size_t kEnginesPerLoad = 5;
+    constexpr std::size_t kEnginesPerLoad = 4;
+    /// Pause before an engine is asked again, doubled with each failure; one that is gone must not take a place in each
+    /// turn.
+    constexpr std::chrono::milliseconds kFirstRetry { 300 };
+    constexpr int kMostDoublings = 3;
+    /// A request may wait so long at an engine before it begins.
+    constexpr std::chrono::milliseconds kTimeInQueue { 2000 };
     /// Added to the lease for the time that an order takes to its engine.
     constexpr std::chrono::milliseconds kOrderTravel { 500 };
 
@@ -27,18 +33,31 @@
     m_token.reset();
 }
 
-void WeightsDuty::setTarget(const ModelId& model, WeightsVersion version)
+void WeightsDuty::setTarget(const ModelId& model, WeightsVersion version, MonotonicTime now)
 {
     auto& target = m_targets[model];
-    if (target < version) {
-        target = version;
-        m_retryAt.clear();
+    if (version <= target)
+        return;
+    target = version;
+    m_named[model].push_back({ version, now });
+}
+
+WeightsVersion WeightsDuty::oldestAllowed(const ModelId& model, MonotonicTime now) const
+{
+    WeightsVersion oldest;
+    const auto named = m_named.find(model);
+    if (named == m_named.end())
+        return oldest;
+    for (const auto& entry : named->second) {
+        if (entry.at + m_bound - kTimeInQueue <= now)
+            oldest = entry.version;
     }
+    return oldest;
 }
 
 bool WeightsDuty::isHeld(MonotonicTime now) const
 {
-    return m_token && m_mayStart <= now && now < m_heldUntil;
+    return isConfirmed(now) && m_mayStart <= now;
 }
 
 std::vector<WeightsOrder> WeightsDuty::takeDue(const EndpointRoster& roster, MonotonicTime now)
@@ -62,8 +81,8 @@
         for (const auto* entry : behind) {
             if (m_inProgress.size() >= mostAtOnce(engines))
                 break;
-            const auto retry = m_retryAt.find(entry->id);
-            if (m_inProgress.contains(entry->id) || (retry != m_retryAt.end() && now < retry->second))
+            const auto retry = m_retries.find(entry->id);
+            if (m_inProgress.contains(entry->id) || (retry != m_retries.end() && now < retry->second.at))
                 continue;
             const WeightsOrder order { entry->id, model, target, *m_token };
             m_inProgress.emplace(entry->id, order);
@@ -73,10 +92,17 @@
     return due;
 }
 
-void WeightsDuty::settle(const EndpointId& endpoint, MonotonicTime retryAt)
+void WeightsDuty::settle(const EndpointId& endpoint, bool isInPlace, MonotonicTime now)
 {
     m_inProgress.erase(endpoint);
-    m_retryAt[endpoint] = retryAt;
+    if (isInPlace) {
+        m_retries.erase(endpoint);
+        return;
+    }
+    auto& retry = m_retries[endpoint];
+    const int doublings = std::min(retry.failures, kMostDoublings);
+    retry.at = now + kFirstRetry * (1 << doublings);
+    ++retry.failures;
 }
 
 std::size_t WeightsDuty::mostAtOnce(std::size_t engines)
--- a/src/hornbeamgate/gateway/weights_duty.hpp
+++ b/src/hornbeamgate/gateway/weights_duty.hpp
@@ -27,8 +27,10 @@
 /// Load it answers: weights named every few seconds while requests go on, so only a part of the engines loads at once.
 class WeightsDuty {
 public:
-    explicit WeightsDuty(Duration lease)
+    /// No request should begin on older weights later than `bound` after newer ones were named.
+    WeightsDuty(Duration lease, Duration bound)
         : m_lease(lease)
+        , m_bound(bound)
     {
     }
 
@@ -37,28 +39,43 @@
     /// Another daemon holds the duty, or nobody does.
     void lose();
 
-    void setTarget(const ModelId& model, WeightsVersion version);
+    void setTarget(const ModelId& model, WeightsVersion version, MonotonicTime now);
+    /// Newest version that was named so long ago that requests on older weights would pass the bound.
+    WeightsVersion oldestAllowed(const ModelId& model, MonotonicTime now) const;
     const std::map<ModelId, WeightsVersion>& targets() const { return m_targets; }
 
     /// Orders to begin now. Each stays in progress until it is settled.
     std::vector<WeightsOrder> takeDue(const EndpointRoster& roster, MonotonicTime now);
     /// True while this daemon may still carry out orders.
     bool isHeld(MonotonicTime now) const;
+    /// True while the membership is confirmed, also before the first order may be given.
+    bool isConfirmed(MonotonicTime now) const { return m_token && now < m_heldUntil; }
 
-    /// Ends an order. An engine that still lacks the weights is due again at `retryAt`.
-    void settle(const EndpointId& endpoint, MonotonicTime retryAt);
+    /// Ends an order. An engine that still lacks the weights is due again soon, and later after each failure.
+    void settle(const EndpointId& endpoint, bool isInPlace, MonotonicTime now);
 
     /// Engines that may load weights at once out of `engines`.
     static std::size_t mostAtOnce(std::size_t engines);
 
 private:
+    struct Named {
+        WeightsVersion version;
+        MonotonicTime at;
+    };
+    struct Retry {
+        MonotonicTime at;
+        int failures = 0;
+    };
+
     Duration m_lease;
+    Duration m_bound;
+    std::map<ModelId, std::vector<Named>> m_named; ///< by version
     std::map<ModelId, WeightsVersion> m_targets;
     std::optional<FencingToken> m_token;
     MonotonicTime m_mayStart {};
     MonotonicTime m_heldUntil {};
     std::map<EndpointId, WeightsOrder> m_inProgress;
-    std::map<EndpointId, MonotonicTime> m_retryAt;
+    std::map<EndpointId, Retry> m_retries;
 };
 
 } // namespace hornbeamgate
--- a/src/hornbeamgate/runtime/gateway/directory.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory.hpp
@@ -68,6 +68,8 @@
     virtual void announce(const DaemonEntry& entry, bool isLeaving, Report<LogOffset> report) = 0;
     /// Joins or stays in the group that shares duties; a member not heard for `lifetime` loses them.
     virtual void holdDuty(const HostId& member, std::chrono::milliseconds lifetime, Report<DutyGrant> report) = 0;
+    /// Leaves the group, whose duties go to the other members at once.
+    virtual void leaveDuty(const HostId& member, Report<bool> report) = 0;
     /// Reads a record's value, which is not empty.
     virtual Result<DirectoryItem, RecordFault> decode(DirectoryTopic topic, const DirectoryRecord& record) const = 0;
 };
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -5,6 +5,7 @@
 #include "hornbeamgate/runtime/main_loop.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace hornbeamgate {
 
@@ -39,6 +40,8 @@
     constexpr milliseconds kDutyInterval { 1000 };
     /// Taken off the lifetime of a duty, for orders that are on their way.
     constexpr milliseconds kDutyMargin { 500 };
+    /// Without a word of the holder for so long, the duty is sought; its reports come several times a second.
+    constexpr milliseconds kHolderSilence { 2500 };
     constexpr milliseconds kAnnounceRetry { 500 };
     constexpr milliseconds kExpiryInterval { 250 };
 
@@ -66,7 +69,7 @@
     , m_directory(directory)
     , m_self(std::move(self))
     , m_announceTimer([this] { announce(); })
-    , m_dutyTimer([this] { holdDuty(); })
+    , m_dutyTimer([this] { seekDuty(); })
     , m_expiryTimer([this] { expireEndpoints(); })
 {
     for (std::size_t i = 0; i < kDirectoryTopics; ++i)
@@ -78,7 +81,7 @@
     for (std::size_t i = 0; i < kDirectoryTopics; ++i)
         poll(static_cast<DirectoryTopic>(i));
     announce();
-    holdDuty();
+    seekDuty();
     m_expiryTimer.set(MonotonicClock::now() + kExpiryInterval);
 }
 
@@ -193,7 +196,7 @@
 void DirectoryTask::put(const WeightsTarget& target)
 {
     logEvent(LogEvent::WeightsNamed, { { "model", target.model.value() }, { "version", target.version.value() } });
-    m_state.duty.setTarget(target.model, target.version);
+    m_state.duty.setTarget(target.model, target.version, MonotonicClock::now());
 }
 
 void DirectoryTask::put(EndpointEntry entry)
@@ -229,26 +232,44 @@
     m_announceTimer.clear();
     m_dutyTimer.clear();
     m_state.duty.lose();
+    leaveDuty();
     m_directory.announce(m_self, true, [done = std::move(done)](const Result<LogOffset, DirectoryFault>&) { done(); });
 }
 
-void DirectoryTask::holdDuty()
+void DirectoryTask::seekDuty()
 {
     const auto asked = MonotonicClock::now();
+    m_dutyTimer.set(asked + kDutyInterval);
+    // Members share out the group's partitions anew whenever one comes or goes, so only one stays in it.
+    if (!m_isDutyHolder && m_holderHeardAt && asked < *m_holderHeardAt + kHolderSilence) {
+        leaveDuty();
+        return;
+    }
+    m_isDutyMember = true;
     const auto suspended = suspendedTime();
     m_directory.holdDuty(m_self.host, kDutyLifetime, [this, asked, suspended](const Result<DutyGrant, DirectoryFault>& grant) {
-        const auto now = MonotonicClock::now();
-        m_dutyTimer.set(std::max(asked + kDutyInterval, now));
-        if (!grant)
-            return;
-        if (grant->isHolder != m_isDutyHolder) {
-            m_isDutyHolder = grant->isHolder;
-            logEvent(LogEvent::DutyChanged, { { "holder", m_isDutyHolder ? 1 : 0 }, { "generation", grant->generation.value() } });
-        }
-        if (grant->isHolder)
-            m_state.duty.confirm(grant->generation, asked + kDutyLifetime - kDutyMargin - (suspendedTime() - suspended), now);
-        else
-            m_state.duty.lose();
+        if (grant)
+            onDutyGrant(*grant, asked + kDutyLifetime - kDutyMargin - (suspendedTime() - suspended), MonotonicClock::now());
+    });
+}
+
+void DirectoryTask::onDutyGrant(const DutyGrant& grant, MonotonicTime end, MonotonicTime now)
+{
+    if (grant.isHolder != m_isDutyHolder)
+        logEvent(LogEvent::DutyChanged, { { "holder", grant.isHolder ? 1 : 0 }, { "generation", grant.generation.value() } });
+    m_isDutyHolder = grant.isHolder;
+    if (grant.isHolder)
+        m_state.duty.confirm(grant.generation, end, now);
+    else
+        m_state.duty.lose();
+}
+
+void DirectoryTask::leaveDuty()
+{
+    if (!std::exchange(m_isDutyMember, false))
+        return;
+    m_directory.leaveDuty(m_self.host, [](const Result<bool, DirectoryFault>&) {
+        // A member that could not leave lapses by itself.
     });
 }
 
--- a/src/hornbeamgate/runtime/gateway/directory_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.hpp
@@ -16,12 +16,16 @@
     /// Withdraws this daemon's registration; `done` comes when the store has it, or has not answered.
     void withdraw(std::function<void()> done);
 
+    /// Another daemon says that it holds the duty.
+    void dutyHeldElsewhere(MonotonicTime now) { m_holderHeardAt = now; }
+
     /// Takes records that another daemon passed on.
     void takeFromPeer(DirectoryTopic topic, const std::vector<DirectoryRecord>& records);
     /// True when the store has not answered about `topic` lately, so that other daemons may know more.
     bool isStale(DirectoryTopic topic, MonotonicTime now) const;
     const DirectoryReplica& replica() const { return m_replica; }
     bool isComplete() const;
+    bool holdsDuty() const { return m_isDutyHolder; }
 
 private:
     struct Follower {
@@ -45,7 +49,9 @@
     void put(EndpointEntry entry);
     void put(const DaemonEntry& entry);
     void announce();
-    void holdDuty();
+    void seekDuty();
+    void onDutyGrant(const DutyGrant& grant, MonotonicTime end, MonotonicTime now);
+    void leaveDuty();
     void expireEndpoints();
     Follower& follower(DirectoryTopic topic) { return *m_followers[static_cast<std::size_t>(topic)]; }
 
@@ -60,6 +66,8 @@
     Timer m_dutyTimer;
     Timer m_expiryTimer;
     bool m_isDutyHolder = false;
+    bool m_isDutyMember = false;
+    std::optional<MonotonicTime> m_holderHeardAt;
 };
 
 } // namespace hornbeamgate
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -136,6 +136,7 @@
         const auto target = targets.find(*m_facts.model);
         if (target != targets.end())
             demand.newestWeights = target->second;
+        demand.oldestWeights = m_state.duty.oldestAllowed(*m_facts.model, now);
     }
     return demand;
 }
--- a/src/hornbeamgate/runtime/gateway/gateway_state.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_state.hpp
@@ -23,7 +23,7 @@
         : settings(configured)
         , wire(format)
         , placer(PlaceOfDaemon { configured.common.dataCenter, configured.common.region, configured.regions })
-        , duty(configured.dutyLease)
+        , duty(configured.dutyLease, configured.weightsBound)
     {
     }
 
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -81,6 +81,7 @@
     report.address = m_self.peers;
     for (std::size_t i = 0; i < kDirectoryTopics; ++i)
         report.directoryEnds[i] = m_directory.replica().end(static_cast<DirectoryTopic>(i));
+    report.holdsDuty = m_directory.holdsDuty() && m_state.duty.isConfirmed(now);
     report.drawn = m_state.rates.drawn();
     std::erase_if(m_loading, [now](const auto& entry) { return entry.second <= now; });
     for (const auto& [endpoint, end] : m_loading)
@@ -130,6 +131,8 @@
     const auto now = MonotonicClock::now();
     m_state.peers.add(report->host, report->address, now);
     m_state.peers.heard(report->host, now);
+    if (report->holdsDuty)
+        m_directory.dutyHeldElsewhere(now);
     m_state.rates.peerReported(report->host, report->incarnation, report->drawn, now);
     for (const auto& engine : report->loading)
         m_state.loads.pauseUntil(engine.endpoint, now + engine.remaining);
--- a/src/hornbeamgate/runtime/gateway/weights_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/weights_task.cpp
@@ -17,7 +17,6 @@
     constexpr milliseconds kLoadTimeout { 6000 };
     /// Requests stay away from a loading engine for so long, unless it is known to be done.
     constexpr milliseconds kLoadingPause { 2500 };
-    constexpr milliseconds kRetryAfterFailure { 300 };
     /// The two clocks are not read at the same moment.
     constexpr milliseconds kClockReadingError { 50 };
 
@@ -70,7 +69,7 @@
     const auto now = MonotonicClock::now();
     auto& run = m_runs.at(endpoint);
     if (!engine || now >= run.deadline) {
-        settle(endpoint, engine ? "timed out" : "engine gone", kRetryAfterFailure);
+        settle(endpoint, engine ? "timed out" : "engine gone");
         return;
     }
     m_calls.start(engine->address, requestText(m_control.encodeReportQuery(*engine), {}), now + kCallTimeout,
@@ -83,19 +82,19 @@
     if (!run)
         return;
     if (!answer) {
-        settle(endpoint, answer.error().detail, kRetryAfterFailure);
+        settle(endpoint, answer.error().detail);
         return;
     }
     const auto report = m_control.decodeReport(answer->status, answer->body);
     if (!report) {
-        settle(endpoint, report.error().detail, kRetryAfterFailure);
+        settle(endpoint, report.error().detail);
         return;
     }
     const auto known = report->weights.find(run->order.model);
     if (known != report->weights.end() && known->second >= run->order.version) {
         m_peers.announceLoaded({ endpoint, known->first, known->second });
         m_state.loads.resume(endpoint);
-        settle(endpoint, "in place", {});
+        settle(endpoint, "in place", true);
         return;
     }
     if (run->isOrdered || report->isBusy) {
@@ -112,7 +111,7 @@
     const auto* engine = m_state.roster.find(endpoint);
     checkSuspension();
     if (!engine || !m_state.duty.isHeld(now)) {
-        settle(endpoint, "duty lost", kRetryAfterFailure);
+        settle(endpoint, "duty lost");
         return;
     }
     run.isOrdered = true;
@@ -128,22 +127,22 @@
         return;
     if (!answer) {
         // It may be carried out late; the next order names how many orders the engine had taken.
-        settle(endpoint, answer.error().detail, kRetryAfterFailure);
+        settle(endpoint, answer.error().detail);
         return;
     }
     const auto meaning = m_control.decodeOrderAnswer(answer->status);
     if (meaning == OrderAnswer::Conflict || meaning == OrderAnswer::Rejected) {
-        settle(endpoint, "status " + std::to_string(answer->status), kRetryAfterFailure);
+        settle(endpoint, "status " + std::to_string(answer->status));
         return;
     }
     run->timer.set(MonotonicClock::now() + kStateInterval);
 }
 
-void WeightsTask::settle(const EndpointId& endpoint, std::string_view outcome, Duration retryAfter)
+void WeightsTask::settle(const EndpointId& endpoint, std::string_view outcome, bool isInPlace)
 {
     const auto found = m_runs.find(endpoint);
     logEvent(LogEvent::WeightsOrdered, { { "endpoint", endpoint.value() }, { "model", found->second.order.model.value() }, { "version", found->second.order.version.value() }, { "token", found->second.order.token.value() }, { "ordered", found->second.isOrdered ? 1 : 0 }, { "outcome", outcome } });
-    m_state.duty.settle(endpoint, MonotonicClock::now() + retryAfter);
+    m_state.duty.settle(endpoint, isInPlace, MonotonicClock::now());
     // The run may be in its own timer, so it goes after that.
     post([run = std::make_shared<Run>(std::move(found->second))] {});
     m_runs.erase(found);
--- a/src/hornbeamgate/settings/gateway_settings.cpp
+++ b/src/hornbeamgate/settings/gateway_settings.cpp
@@ -10,6 +10,7 @@
     constexpr std::chrono::milliseconds kDrainTimeout { 7'000 };
     constexpr std::chrono::milliseconds kRetryWindow { 10'000 };
     constexpr double kRetryRatio = 0.1;
+    constexpr std::chrono::milliseconds kWeightsBound { 10'000 };
     constexpr std::chrono::milliseconds kDutyLease { 3'000 };
 
     GatewaySettings readGateway(SettingsReader& reader)
@@ -30,6 +31,7 @@
         settings.retries.ratio = reader.fraction("retry_ratio", kRetryRatio);
         settings.retries.slack = static_cast<double>(reader.number("retry_slack", kCountRange, 0));
         settings.retries.window = reader.milliseconds("retry_window_ms", kTimeoutRange, kRetryWindow);
+        settings.weightsBound = reader.milliseconds("weights_bound_ms", kTimeoutRange, kWeightsBound);
         settings.dutyLease = reader.milliseconds("duty_lease_ms", kTimeoutRange, kDutyLease);
         return settings;
     }
