--- a/src/hornbeamgate/gateway/peer_report.cpp
+++ b/src/hornbeamgate/gateway/peer_report.cpp
@@ -24,7 +24,7 @@
     for (const auto& [endpoint, tokens] : report.unreadTokens)
         unread.push_back(json::array({ endpoint.value(), tokens }));
     return toCbor(json::array({ report.host.value(), report.incarnation.value(), std::move(ends), std::move(drawn), std::move(loading),
-        report.address.ip, report.address.port, std::move(loaded), std::move(unread), report.holdsDuty }));
+        report.address.ip, report.address.port, std::move(loaded), std::move(unread), report.holdsDuty, report.hasResigned }));
 }
 
 Result<PeerReport, CodecError> decodePeerReport(BytesView octets)
@@ -48,6 +48,7 @@
         for (const auto& item : value->at(8))
             report.unreadTokens[EndpointId(item.at(0).get<std::string>())] = item.at(1).get<std::int64_t>();
         report.holdsDuty = value->at(9).get<bool>();
+        report.hasResigned = value->at(10).get<bool>();
         return report;
     } catch (const json::exception& error) {
         return failure(CodecError { error.what() });
--- a/src/hornbeamgate/gateway/peer_report.hpp
+++ b/src/hornbeamgate/gateway/peer_report.hpp
@@ -29,6 +29,7 @@
     SocketAddress address; ///< where the sender takes reports
     std::array<LogOffset, kDirectoryTopics> directoryEnds {};
     bool holdsDuty = false; ///< it gives the weights orders
+    bool hasResigned = false; ///< it held the duty, gave its last order and is about to end
     DrawnUnits drawn;
     std::vector<LoadingEngine> loading;
     std::vector<LoadedWeights> loaded;
--- a/src/hornbeamgate/gateway/peer_table.cpp
+++ b/src/hornbeamgate/gateway/peer_table.cpp
@@ -22,7 +22,12 @@
 
 std::size_t PeerTable::heardCount(MonotonicTime now) const
 {
-    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [now](const auto& entry) { return entry.second.heardAt && now < *entry.second.heardAt + kHeardFor; }));
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [now](const auto& entry) { return entry.second.isHeard(now); }));
+}
+
+std::size_t PeerTable::heardBefore(const HostId& host, MonotonicTime now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.lower_bound(host), [now](const auto& entry) { return entry.second.isHeard(now); }));
 }
 
 std::size_t PeerTable::runningCount(MonotonicTime now) const
--- a/src/hornbeamgate/gateway/peer_table.hpp
+++ b/src/hornbeamgate/gateway/peer_table.hpp
@@ -29,6 +29,8 @@
     bool heard(const HostId& host, MonotonicTime now);
 
     std::size_t heardCount(MonotonicTime now) const;
+    /// Daemons that are heard and come before `host` in order of their names.
+    std::size_t heardBefore(const HostId& host, MonotonicTime now) const;
     /// Daemons that may be running, heard ones included.
     std::size_t runningCount(MonotonicTime now) const;
     std::vector<SocketAddress> addresses() const;
@@ -36,6 +38,8 @@
 
 private:
     struct Peer {
+        bool isHeard(MonotonicTime now) const { return heardAt && now < *heardAt + kHeardFor; }
+
         SocketAddress address;
         MonotonicTime addedAt;
         std::optional<MonotonicTime> heardAt;
--- a/src/hornbeamgate/gateway/weights_duty.cpp
+++ b/src/hornbeamgate/gateway/weights_duty.cpp
@@ -7,13 +7,15 @@
 namespace {
 
     /// One engine in this many loads at once; more slow each other down and leave too few to serve.
-    constexpr std::size_t kEnginesPerLoad = 4;
+    constexpr std::size_t kEnginesPerLoad = 3;
     /// Pause before an engine is asked again, doubled with each failure; one that is gone must not take a place in each
     /// turn.
     constexpr std::chrono::milliseconds kFirstRetry { 300 };
     constexpr int kMostDoublings = 3;
     /// A request may wait so long at an engine before it begins.
     constexpr std::chrono::milliseconds kTimeInQueue { 2000 };
+    /// A takeover so soon after the holder resigned leaves no time for another one in between.
+    constexpr std::chrono::milliseconds kHandoverTime { 2000 };
     /// Added to the lease for the time that an order takes to its engine.
     constexpr std::chrono::milliseconds kOrderTravel { 500 };
 
@@ -22,8 +24,11 @@
 void WeightsDuty::confirm(FencingToken token, MonotonicTime end, MonotonicTime now)
 {
     const bool isTakenOver = !m_token || now >= m_heldUntil;
-    if (isTakenOver)
-        m_mayStart = now + m_lease + kOrderTravel;
+    if (isTakenOver) {
+        const bool isHandover = m_holderResignedAt && now < *m_holderResignedAt + kHandoverTime;
+        m_mayStart = (isHandover ? *m_holderResignedAt : now) + m_lease + kOrderTravel;
+        m_holderResignedAt.reset();
+    }
     m_token = token;
     m_heldUntil = end;
 }
--- a/src/hornbeamgate/gateway/weights_duty.hpp
+++ b/src/hornbeamgate/gateway/weights_duty.hpp
@@ -36,6 +36,8 @@
 
     /// The membership names this daemon as holder, valid until `end` unless confirmed again.
     void confirm(FencingToken token, MonotonicTime end, MonotonicTime now);
+    /// The holder said that it gives no more orders, so its lease need not be waited out from the takeover on.
+    void holderResigned(MonotonicTime now) { m_holderResignedAt = now; }
     /// Another daemon holds the duty, or nobody does.
     void lose();
 
@@ -73,6 +75,7 @@
     std::map<ModelId, WeightsVersion> m_targets;
     std::optional<FencingToken> m_token;
     MonotonicTime m_mayStart {};
+    std::optional<MonotonicTime> m_holderResignedAt;
     MonotonicTime m_heldUntil {};
     std::map<EndpointId, WeightsOrder> m_inProgress;
     std::map<EndpointId, Retry> m_retries;
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -41,7 +41,9 @@
     /// Taken off the lifetime of a duty, for orders that are on their way.
     constexpr milliseconds kDutyMargin { 500 };
     /// Without a word of the holder for so long, the duty is sought; its reports come several times a second.
-    constexpr milliseconds kHolderSilence { 2500 };
+    constexpr milliseconds kHolderSilence { 1500 };
+    /// Between two daemons that seek the duty; a new holder is heard by then.
+    constexpr milliseconds kSeekStagger { 400 };
     constexpr milliseconds kAnnounceRetry { 500 };
     constexpr milliseconds kExpiryInterval { 250 };
 
@@ -230,25 +232,29 @@
 void DirectoryTask::withdraw(std::function<void()> done)
 {
     m_announceTimer.clear();
-    m_dutyTimer.clear();
-    m_state.duty.lose();
-    leaveDuty();
+    resignDuty();
     m_directory.announce(m_self, true, [done = std::move(done)](const Result<LogOffset, DirectoryFault>&) { done(); });
 }
 
 void DirectoryTask::seekDuty()
 {
     const auto asked = MonotonicClock::now();
-    m_dutyTimer.set(asked + kDutyInterval);
-    // Members share out the group's partitions anew whenever one comes or goes, so only one stays in it.
-    if (!m_isDutyHolder && m_holderHeardAt && asked < *m_holderHeardAt + kHolderSilence) {
+    if (m_hasResigned)
+        return;
+    // The group shares out its duties anew whenever a member comes or goes, so only one daemon stays in it. Daemons
+    // that miss the holder seek the duty one after the other.
+    const auto rank = m_state.peers.heardBefore(m_self.host, asked);
+    const auto seekAt = m_holderHeardAt + kHolderSilence + kSeekStagger * static_cast<std::int64_t>(rank);
+    if (!m_isDutyHolder && asked < seekAt) {
+        m_dutyTimer.set(std::min(seekAt, asked + kDutyInterval));
         leaveDuty();
         return;
     }
+    m_dutyTimer.set(asked + kDutyInterval);
     m_isDutyMember = true;
     const auto suspended = suspendedTime();
     m_directory.holdDuty(m_self.host, kDutyLifetime, [this, asked, suspended](const Result<DutyGrant, DirectoryFault>& grant) {
-        if (grant)
+        if (grant && !m_hasResigned)
             onDutyGrant(*grant, asked + kDutyLifetime - kDutyMargin - (suspendedTime() - suspended), MonotonicClock::now());
     });
 }
@@ -264,6 +270,29 @@
         m_state.duty.lose();
 }
 
+void DirectoryTask::resignDuty()
+{
+    if (m_hasResigned)
+        return;
+    m_hasResigned = true;
+    m_wasDutyHolder = m_isDutyHolder;
+    m_isDutyHolder = false;
+    m_dutyTimer.clear();
+    m_state.duty.lose();
+    leaveDuty();
+}
+
+void DirectoryTask::holderResigned(const HostId& holder, MonotonicTime now)
+{
+    // It says so until it ends.
+    if (holder == m_resignedHolder)
+        return;
+    m_resignedHolder = holder;
+    m_state.duty.holderResigned(now);
+    m_holderHeardAt = now - kHolderSilence;
+    seekDuty();
+}
+
 void DirectoryTask::leaveDuty()
 {
     if (!std::exchange(m_isDutyMember, false))
--- a/src/hornbeamgate/runtime/gateway/directory_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.hpp
@@ -16,8 +16,13 @@
     /// Withdraws this daemon's registration; `done` comes when the store has it, or has not answered.
     void withdraw(std::function<void()> done);
 
+    /// Gives the duty up for good, because this daemon is about to end.
+    void resignDuty();
     /// Another daemon says that it holds the duty.
     void dutyHeldElsewhere(MonotonicTime now) { m_holderHeardAt = now; }
+    /// The holder of the duty says that it has resigned.
+    void holderResigned(const HostId& holder, MonotonicTime now);
+    bool hasResignedDuty() const { return m_hasResigned && m_wasDutyHolder; }
 
     /// Takes records that another daemon passed on.
     void takeFromPeer(DirectoryTopic topic, const std::vector<DirectoryRecord>& records);
@@ -67,7 +72,10 @@
     Timer m_expiryTimer;
     bool m_isDutyHolder = false;
     bool m_isDutyMember = false;
-    std::optional<MonotonicTime> m_holderHeardAt;
+    bool m_hasResigned = false;
+    bool m_wasDutyHolder = false; ///< when it resigned
+    HostId m_resignedHolder;
+    MonotonicTime m_holderHeardAt = MonotonicClock::now(); ///< or the start of this daemon
 };
 
 } // namespace hornbeamgate
--- a/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
@@ -15,8 +15,9 @@
     constexpr int kOk = 200;
     constexpr int kNotFound = 404;
     constexpr int kUnavailable = 503;
-    /// The balancer asks once a second and needs two refusals, so new connections come for so long after SIGTERM.
-    constexpr milliseconds kBalancerNotices { 3000 };
+    /// The balancer asks once a second and needs two refusals, so new connections come for about so long after
+    /// SIGTERM. Requests that come later are refused, since they might not be finished before SIGKILL.
+    constexpr milliseconds kBalancerNotices { 2800 };
     constexpr milliseconds kDrainCheckInterval { 50 };
     /// Longest wait for the store when the registration is withdrawn at the end.
     constexpr milliseconds kLeaveTimeout { 300 };
@@ -111,12 +112,15 @@
     m_state.isDraining = true;
     m_drainBegan = MonotonicClock::now();
     logEvent(LogEvent::DrainStarted, { { "requests", m_callers->busyConnections() } });
+    m_directory.resignDuty();
+    m_peers->sendReport();
     m_drainTimer.set(m_drainBegan + kBalancerNotices);
 }
 
 void GatewayDaemon::closeWhenDrained()
 {
     const auto now = MonotonicClock::now();
+    m_state.isClosing = true;
     m_callers->closeIdleConnections();
     if (m_callers->busyConnections() > 0 && now < m_drainBegan + m_settings.common.drainTimeout) {
         m_drainTimer.set(now + kDrainCheckInterval);
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -68,6 +68,10 @@
 void GatewayRequest::start()
 {
     m_state.metrics.add(Counter::RequestsAccepted);
+    if (m_state.isClosing) {
+        refuse({ kUnavailable, "this daemon is about to end", kLeastRetryAfter });
+        return;
+    }
     if (!identify() || !drawUnits())
         return;
     m_deadlineTimer.set(m_deadline);
--- a/src/hornbeamgate/runtime/gateway/gateway_state.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_state.hpp
@@ -47,6 +47,7 @@
     Metrics metrics;
     std::uint64_t sends = 0; ///< numbers the sends to endpoints
     bool isDraining = false;
+    bool isClosing = false; ///< draining for so long that no new request can be finished
 };
 
 } // namespace hornbeamgate
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -82,6 +82,7 @@
     for (std::size_t i = 0; i < kDirectoryTopics; ++i)
         report.directoryEnds[i] = m_directory.replica().end(static_cast<DirectoryTopic>(i));
     report.holdsDuty = m_directory.holdsDuty() && m_state.duty.isConfirmed(now);
+    report.hasResigned = m_directory.hasResignedDuty();
     report.drawn = m_state.rates.drawn();
     std::erase_if(m_loading, [now](const auto& entry) { return entry.second <= now; });
     for (const auto& [endpoint, end] : m_loading)
@@ -133,6 +134,8 @@
     m_state.peers.heard(report->host, now);
     if (report->holdsDuty)
         m_directory.dutyHeldElsewhere(now);
+    if (report->hasResigned)
+        m_directory.holderResigned(report->host, now);
     m_state.rates.peerReported(report->host, report->incarnation, report->drawn, now);
     for (const auto& engine : report->loading)
         m_state.loads.pauseUntil(engine.endpoint, now + engine.remaining);
--- a/src/hornbeamgate/runtime/gateway/peer_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.hpp
@@ -15,6 +15,8 @@
     static Result<std::unique_ptr<PeerTask>, NetError> create(GatewayState& state, DirectoryTask& directory, const DaemonEntry& self);
 
     void start();
+    /// Tells the others the news at once.
+    void sendReport();
     /// Keeps requests of all daemons away from an engine that is about to load weights.
     void announceLoading(const EndpointId& endpoint, Duration time);
     /// Tells all daemons that an engine has its weights in place and takes requests again.
@@ -24,7 +26,6 @@
     PeerTask(GatewayState& state, DirectoryTask& directory, DaemonEntry self);
 
     void report();
-    void sendReport();
     void onDatagram(std::string_view octets);
     void takeLoaded(const LoadedWeights& weights);
     void fetchNewer(const PeerReport& report);
--- a/src/hornbeamgate/runtime/net/http_exchange.cpp
+++ b/src/hornbeamgate/runtime/net/http_exchange.cpp
@@ -169,8 +169,8 @@
         m_pool.put(m_request.peer, std::move(m_stream), now + m_keepAliveTime, now);
         return;
     }
-    // The stream may be in its own callback, so it goes after that.
-    post([stream = std::shared_ptr<TcpStream>(std::move(m_stream))] {});
+    // Its callbacks lead here, so it must not outlive this exchange.
+    m_stream.reset();
 }
 
 void HttpExchange::fail(ExchangeFailure failure, const std::string& reason)
