--- a/src/hornbeamgate/gateway/peer_report.cpp
+++ b/src/hornbeamgate/gateway/peer_report.cpp
@@ -20,11 +20,14 @@
     json loaded = json::array();
     for (const auto& weights : report.loaded)
         loaded.push_back(json::array({ weights.endpoint.value(), weights.model.value(), weights.version.value() }));
+    json orders = json::array();
+    for (const auto& order : report.recentOrders)
+        orders.push_back(json::array({ order.endpoint.value(), order.age.count() }));
     json unread = json::array();
     for (const auto& [endpoint, tokens] : report.unreadTokens)
         unread.push_back(json::array({ endpoint.value(), tokens }));
     return toCbor(json::array({ report.host.value(), report.incarnation.value(), std::move(ends), std::move(drawn), std::move(loading),
-        report.address.ip, report.address.port, std::move(loaded), std::move(unread), report.holdsDuty, report.hasResigned }));
+        report.address.ip, report.address.port, std::move(loaded), std::move(unread), report.holdsDuty, report.resignations, report.isLeaving, std::move(orders) }));
 }
 
 Result<PeerReport, CodecError> decodePeerReport(BytesView octets)
@@ -48,7 +51,10 @@
         for (const auto& item : value->at(8))
             report.unreadTokens[EndpointId(item.at(0).get<std::string>())] = item.at(1).get<std::int64_t>();
         report.holdsDuty = value->at(9).get<bool>();
-        report.hasResigned = value->at(10).get<bool>();
+        report.resignations = value->at(10).get<std::uint64_t>();
+        report.isLeaving = value->at(11).get<bool>();
+        for (const auto& item : value->at(12))
+            report.recentOrders.push_back({ EndpointId(item.at(0).get<std::string>()), std::chrono::milliseconds(item.at(1).get<std::int64_t>()) });
         return report;
     } catch (const json::exception& error) {
         return failure(CodecError { error.what() });
--- a/src/hornbeamgate/gateway/peer_report.hpp
+++ b/src/hornbeamgate/gateway/peer_report.hpp
@@ -4,6 +4,7 @@
 #include "hornbeamgate/base/socket_address.hpp"
 #include "hornbeamgate/gateway/directory_replica.hpp"
 #include "hornbeamgate/gateway/rate_keeper.hpp"
+#include "hornbeamgate/gateway/weights_duty.hpp"
 
 #include <chrono>
 
@@ -29,7 +30,9 @@
     SocketAddress address; ///< where the sender takes reports
     std::array<LogOffset, kDirectoryTopics> directoryEnds {};
     bool holdsDuty = false; ///< it gives the weights orders
-    bool hasResigned = false; ///< it held the duty, gave its last order and is about to end
+    std::uint64_t resignations = 0; ///< how often it gave the duty up
+    std::vector<RecentOrder> recentOrders;
+    bool isLeaving = false; ///< it drains
     DrawnUnits drawn;
     std::vector<LoadingEngine> loading;
     std::vector<LoadedWeights> loaded;
--- a/src/hornbeamgate/gateway/peer_table.cpp
+++ b/src/hornbeamgate/gateway/peer_table.cpp
@@ -4,19 +4,22 @@
 
 namespace hornbeamgate {
 
-void PeerTable::add(const HostId& host, const SocketAddress& address, MonotonicTime now)
+void PeerTable::add(const HostId& host, const SocketAddress& address, Incarnation incarnation, MonotonicTime now)
 {
-    auto [found, isNew] = m_peers.try_emplace(host, Peer { address, now, {} });
-    if (!isNew)
+    auto [found, isNew] = m_peers.try_emplace(host, Peer { address, incarnation, now, false, {} });
+    if (!isNew && incarnation >= found->second.incarnation) {
         found->second.address = address;
+        found->second.incarnation = incarnation;
+    }
 }
 
-bool PeerTable::heard(const HostId& host, MonotonicTime now)
+bool PeerTable::heard(const HostId& host, bool isLeaving, MonotonicTime now)
 {
     const auto found = m_peers.find(host);
     if (found == m_peers.end())
         return false;
     found->second.heardAt = now;
+    found->second.isLeaving = isLeaving;
     return true;
 }
 
@@ -25,9 +28,11 @@
     return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [now](const auto& entry) { return entry.second.isHeard(now); }));
 }
 
-std::size_t PeerTable::heardBefore(const HostId& host, MonotonicTime now) const
+std::size_t PeerTable::heardYounger(Incarnation incarnation, MonotonicTime now) const
 {
-    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.lower_bound(host), [now](const auto& entry) { return entry.second.isHeard(now); }));
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
+        return entry.second.isHeard(now) && !entry.second.isLeaving && entry.second.incarnation > incarnation;
+    }));
 }
 
 std::size_t PeerTable::runningCount(MonotonicTime now) const
--- a/src/hornbeamgate/gateway/peer_table.hpp
+++ b/src/hornbeamgate/gateway/peer_table.hpp
@@ -23,14 +23,15 @@
     /// A daemon that runs is heard within a second of its registration.
     static constexpr std::chrono::milliseconds kCountedUnheardFor { 4000 };
 
-    void add(const HostId& host, const SocketAddress& address, MonotonicTime now);
+    void add(const HostId& host, const SocketAddress& address, Incarnation incarnation, MonotonicTime now);
     void remove(const HostId& host) { m_peers.erase(host); }
     /// Notes a report. False when the host is not registered.
-    bool heard(const HostId& host, MonotonicTime now);
+    bool heard(const HostId& host, bool isLeaving, MonotonicTime now);
 
     std::size_t heardCount(MonotonicTime now) const;
-    /// Daemons that are heard and come before `host` in order of their names.
-    std::size_t heardBefore(const HostId& host, MonotonicTime now) const;
+    /// Daemons that are heard, started after `incarnation` and stay. While daemons are restarted in turn, these are the
+    /// ones that have had their turn.
+    std::size_t heardYounger(Incarnation incarnation, MonotonicTime now) const;
     /// Daemons that may be running, heard ones included.
     std::size_t runningCount(MonotonicTime now) const;
     std::vector<SocketAddress> addresses() const;
@@ -41,7 +42,9 @@
         bool isHeard(MonotonicTime now) const { return heardAt && now < *heardAt + kHeardFor; }
 
         SocketAddress address;
+        Incarnation incarnation;
         MonotonicTime addedAt;
+        bool isLeaving = false;
         std::optional<MonotonicTime> heardAt;
     };
 
--- a/src/hornbeamgate/gateway/weights_duty.cpp
+++ b/src/hornbeamgate/gateway/weights_duty.cpp
@@ -23,10 +23,10 @@
 
 void WeightsDuty::confirm(FencingToken token, MonotonicTime end, MonotonicTime now)
 {
-    const bool isTakenOver = !m_token || now >= m_heldUntil;
+    const bool isTakenOver = !isConfirmed(now);
     if (isTakenOver) {
-        const bool isHandover = m_holderResignedAt && now < *m_holderResignedAt + kHandoverTime;
-        m_mayStart = (isHandover ? *m_holderResignedAt : now) + m_lease + kOrderTravel;
+        m_mayStart = now + m_lease + kOrderTravel;
+        m_isHandover = m_holderResignedAt && now < *m_holderResignedAt + kHandoverTime;
         m_holderResignedAt.reset();
     }
     m_token = token;
@@ -35,9 +35,44 @@
 
 void WeightsDuty::lose()
 {
+    if (m_token)
+        ++m_resignations;
     m_token.reset();
 }
 
+void WeightsDuty::checkLapse(MonotonicTime now)
+{
+    if (m_token && now >= m_heldUntil)
+        lose();
+}
+
+void WeightsDuty::holderResigned(const std::vector<RecentOrder>& orders, MonotonicTime now)
+{
+    m_holderResignedAt = now;
+    for (const auto& order : orders)
+        m_foreignOrders[order.endpoint] = now - order.age;
+}
+
+bool WeightsDuty::mayOrder(const EndpointId& endpoint, MonotonicTime now) const
+{
+    if (!isConfirmed(now))
+        return false;
+    if (now >= m_mayStart)
+        return true;
+    const auto foreign = m_foreignOrders.find(endpoint);
+    return m_isHandover && (foreign == m_foreignOrders.end() || now >= foreign->second + m_lease + kOrderTravel);
+}
+
+std::vector<RecentOrder> WeightsDuty::recentOrders(MonotonicTime now) const
+{
+    std::vector<RecentOrder> recent;
+    for (const auto& [endpoint, sentAt] : m_ownOrders) {
+        if (now < sentAt + m_lease + kOrderTravel)
+            recent.push_back({ endpoint, std::chrono::floor<std::chrono::milliseconds>(now - sentAt) });
+    }
+    return recent;
+}
+
 void WeightsDuty::setTarget(const ModelId& model, WeightsVersion version, MonotonicTime now)
 {
     auto& target = m_targets[model];
@@ -60,15 +95,10 @@
     return oldest;
 }
 
-bool WeightsDuty::isHeld(MonotonicTime now) const
-{
-    return isConfirmed(now) && m_mayStart <= now;
-}
-
 std::vector<WeightsOrder> WeightsDuty::takeDue(const EndpointRoster& roster, MonotonicTime now)
 {
     std::vector<WeightsOrder> due;
-    if (!isHeld(now))
+    if (!isConfirmed(now))
         return due;
     for (const auto& [model, target] : m_targets) {
         std::size_t engines = 0;
@@ -87,7 +117,7 @@
             if (m_inProgress.size() >= mostAtOnce(engines))
                 break;
             const auto retry = m_retries.find(entry->id);
-            if (m_inProgress.contains(entry->id) || (retry != m_retries.end() && now < retry->second.at))
+            if (!mayOrder(entry->id, now) || m_inProgress.contains(entry->id) || (retry != m_retries.end() && now < retry->second.at))
                 continue;
             const WeightsOrder order { entry->id, model, target, *m_token };
             m_inProgress.emplace(entry->id, order);
--- a/src/hornbeamgate/gateway/weights_duty.hpp
+++ b/src/hornbeamgate/gateway/weights_duty.hpp
@@ -18,6 +18,12 @@
     bool operator==(const WeightsOrder&) const = default;
 };
 
+/// Order that was sent lately.
+struct RecentOrder {
+    EndpointId endpoint;
+    std::chrono::milliseconds age {};
+};
+
 /// Decides which engines load newer weights now. One daemon holds this duty at a time.
 ///
 /// The store's group membership names the holder and counts its generations, which fence the orders. A new holder
@@ -36,10 +42,17 @@
 
     /// The membership names this daemon as holder, valid until `end` unless confirmed again.
     void confirm(FencingToken token, MonotonicTime end, MonotonicTime now);
-    /// The holder said that it gives no more orders, so its lease need not be waited out from the takeover on.
-    void holderResigned(MonotonicTime now) { m_holderResignedAt = now; }
-    /// Another daemon holds the duty, or nobody does.
+    /// This daemon gives no more orders: another one holds the duty, or nobody does.
     void lose();
+    /// Gives the duty up when its membership was not confirmed in time.
+    void checkLapse(MonotonicTime now);
+    /// How often this daemon gave the duty up.
+    std::uint64_t resignations() const { return m_resignations; }
+
+    /// The holder said that it gives no more orders, and which ones it gave last. Other engines need not wait out its lease.
+    void holderResigned(const std::vector<RecentOrder>& orders, MonotonicTime now);
+    /// Another daemon holds the duty, so an earlier resignation tells nothing any more.
+    void heldElsewhere() { m_holderResignedAt.reset(); }
 
     void setTarget(const ModelId& model, WeightsVersion version, MonotonicTime now);
     /// Newest version that was named so long ago that requests on older weights would pass the bound.
@@ -48,8 +61,11 @@
 
     /// Orders to begin now. Each stays in progress until it is settled.
     std::vector<WeightsOrder> takeDue(const EndpointRoster& roster, MonotonicTime now);
-    /// True while this daemon may still carry out orders.
-    bool isHeld(MonotonicTime now) const;
+    /// True while this daemon may send orders to `endpoint`.
+    bool mayOrder(const EndpointId& endpoint, MonotonicTime now) const;
+    void orderSent(const EndpointId& endpoint, MonotonicTime now) { m_ownOrders[endpoint] = now; }
+    /// Own orders within the last lease.
+    std::vector<RecentOrder> recentOrders(MonotonicTime now) const;
     /// True while the membership is confirmed, also before the first order may be given.
     bool isConfirmed(MonotonicTime now) const { return m_token && now < m_heldUntil; }
 
@@ -75,7 +91,11 @@
     std::map<ModelId, WeightsVersion> m_targets;
     std::optional<FencingToken> m_token;
     MonotonicTime m_mayStart {};
+    bool m_isHandover = false; ///< the holder before resigned, and its last orders are known
     std::optional<MonotonicTime> m_holderResignedAt;
+    std::map<EndpointId, MonotonicTime> m_foreignOrders;
+    std::map<EndpointId, MonotonicTime> m_ownOrders;
+    std::uint64_t m_resignations = 0;
     MonotonicTime m_heldUntil {};
     std::map<EndpointId, WeightsOrder> m_inProgress;
     std::map<EndpointId, Retry> m_retries;
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -218,7 +218,7 @@
 {
     if (entry.host == m_self.host)
         return;
-    m_state.peers.add(entry.host, entry.peers, MonotonicClock::now());
+    m_state.peers.add(entry.host, entry.peers, entry.incarnation, MonotonicClock::now());
 }
 
 void DirectoryTask::announce()
@@ -239,11 +239,17 @@
 void DirectoryTask::seekDuty()
 {
     const auto asked = MonotonicClock::now();
-    if (m_hasResigned)
+    // A holder keeps the duty while it drains, but none that drains takes it.
+    if (m_hasResigned || (m_state.isDraining && !m_isDutyHolder))
         return;
+    if (m_isDutyHolder && !m_state.duty.isConfirmed(asked)) {
+        // Another daemon may have taken the lapsed duty over, and is heard if so.
+        m_isDutyHolder = false;
+        m_holderHeardAt = asked;
+    }
     // The group shares out its duties anew whenever a member comes or goes, so only one daemon stays in it. Daemons
     // that miss the holder seek the duty one after the other.
-    const auto rank = m_state.peers.heardBefore(m_self.host, asked);
+    const auto rank = m_state.peers.heardYounger(m_self.incarnation, asked);
     const auto seekAt = m_holderHeardAt + kHolderSilence + kSeekStagger * static_cast<std::int64_t>(rank);
     if (!m_isDutyHolder && asked < seekAt) {
         m_dutyTimer.set(std::min(seekAt, asked + kDutyInterval));
@@ -272,23 +278,26 @@
 
 void DirectoryTask::resignDuty()
 {
-    if (m_hasResigned)
-        return;
     m_hasResigned = true;
-    m_wasDutyHolder = m_isDutyHolder;
     m_isDutyHolder = false;
     m_dutyTimer.clear();
     m_state.duty.lose();
     leaveDuty();
 }
 
-void DirectoryTask::holderResigned(const HostId& holder, MonotonicTime now)
+void DirectoryTask::dutyHeldElsewhere(MonotonicTime now)
+{
+    m_holderHeardAt = now;
+    m_state.duty.heldElsewhere();
+}
+
+void DirectoryTask::noteResignations(const PeerReport& report, MonotonicTime now)
 {
-    // It says so until it ends.
-    if (holder == m_resignedHolder)
+    const auto [known, isFirst] = m_resignations.try_emplace(report.incarnation, report.resignations);
+    if (isFirst || report.resignations <= known->second)
         return;
-    m_resignedHolder = holder;
-    m_state.duty.holderResigned(now);
+    known->second = report.resignations;
+    m_state.duty.holderResigned(report.recentOrders, now);
     m_holderHeardAt = now - kHolderSilence;
     seekDuty();
 }
--- a/src/hornbeamgate/runtime/gateway/directory_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "hornbeamgate/gateway/peer_report.hpp"
 #include "hornbeamgate/runtime/gateway/directory.hpp"
 #include "hornbeamgate/runtime/gateway/gateway_state.hpp"
 
 #include <array>
+#include <map>
 
 namespace hornbeamgate {
 
@@ -19,10 +21,9 @@
     /// Gives the duty up for good, because this daemon is about to end.
     void resignDuty();
     /// Another daemon says that it holds the duty.
-    void dutyHeldElsewhere(MonotonicTime now) { m_holderHeardAt = now; }
-    /// The holder of the duty says that it has resigned.
-    void holderResigned(const HostId& holder, MonotonicTime now);
-    bool hasResignedDuty() const { return m_hasResigned && m_wasDutyHolder; }
+    void dutyHeldElsewhere(MonotonicTime now);
+    /// Another daemon says how often it gave the duty up.
+    void noteResignations(const PeerReport& report, MonotonicTime now);
 
     /// Takes records that another daemon passed on.
     void takeFromPeer(DirectoryTopic topic, const std::vector<DirectoryRecord>& records);
@@ -30,7 +31,6 @@
     bool isStale(DirectoryTopic topic, MonotonicTime now) const;
     const DirectoryReplica& replica() const { return m_replica; }
     bool isComplete() const;
-    bool holdsDuty() const { return m_isDutyHolder; }
 
 private:
     struct Follower {
@@ -73,8 +73,7 @@
     bool m_isDutyHolder = false;
     bool m_isDutyMember = false;
     bool m_hasResigned = false;
-    bool m_wasDutyHolder = false; ///< when it resigned
-    HostId m_resignedHolder;
+    std::map<Incarnation, std::uint64_t> m_resignations; ///< by daemon
     MonotonicTime m_holderHeardAt = MonotonicClock::now(); ///< or the start of this daemon
 };
 
--- a/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
@@ -112,8 +112,6 @@
     m_state.isDraining = true;
     m_drainBegan = MonotonicClock::now();
     logEvent(LogEvent::DrainStarted, { { "requests", m_callers->busyConnections() } });
-    m_directory.resignDuty();
-    m_peers->sendReport();
     m_drainTimer.set(m_drainBegan + kBalancerNotices);
 }
 
@@ -132,6 +130,8 @@
 void GatewayDaemon::leave()
 {
     const auto hasWithdrawn = std::make_shared<bool>(false);
+    m_directory.resignDuty();
+    m_peers->sendReport();
     m_directory.withdraw([hasWithdrawn] { *hasWithdrawn = true; });
     m_loop.quitWhen([hasWithdrawn] { return *hasWithdrawn; }, MonotonicClock::now() + kLeaveTimeout);
 }
@@ -192,7 +192,7 @@
             { "load", m_state.loads.load(id, now) }, { "failure_share", m_state.loads.failureShare(id) }, { "avoided", m_state.loads.isAvoided(id, now) } });
     }
     const json state { { "host", m_self.host.value() }, { "config_version", m_state.routes ? m_state.routes->config().version.value() : 0 },
-        { "draining", m_state.isDraining }, { "holds_duty", m_state.duty.isHeld(now) }, { "peers_heard", m_state.peers.heardCount(now) },
+        { "draining", m_state.isDraining }, { "holds_duty", m_state.duty.isConfirmed(now) }, { "peers_heard", m_state.peers.heardCount(now) },
         { "peers_running", m_state.peers.runningCount(now) }, { "caller_connections", m_callers->connections() },
         { "connections_opened", m_state.endpointConnections.opened() }, { "connections_reused", m_state.endpointConnections.reused() },
         { "endpoints", std::move(endpoints) } };
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -81,8 +81,10 @@
     report.address = m_self.peers;
     for (std::size_t i = 0; i < kDirectoryTopics; ++i)
         report.directoryEnds[i] = m_directory.replica().end(static_cast<DirectoryTopic>(i));
-    report.holdsDuty = m_directory.holdsDuty() && m_state.duty.isConfirmed(now);
-    report.hasResigned = m_directory.hasResignedDuty();
+    report.holdsDuty = m_state.duty.isConfirmed(now);
+    report.isLeaving = m_state.isDraining;
+    report.resignations = m_state.duty.resignations();
+    report.recentOrders = m_state.duty.recentOrders(now);
     report.drawn = m_state.rates.drawn();
     std::erase_if(m_loading, [now](const auto& entry) { return entry.second <= now; });
     for (const auto& [endpoint, end] : m_loading)
@@ -130,12 +132,11 @@
     if (!report || report->host == m_self.host)
         return;
     const auto now = MonotonicClock::now();
-    m_state.peers.add(report->host, report->address, now);
-    m_state.peers.heard(report->host, now);
+    m_state.peers.add(report->host, report->address, report->incarnation, now);
+    m_state.peers.heard(report->host, report->isLeaving, now);
     if (report->holdsDuty)
         m_directory.dutyHeldElsewhere(now);
-    if (report->hasResigned)
-        m_directory.holderResigned(report->host, now);
+    m_directory.noteResignations(*report, now);
     m_state.rates.peerReported(report->host, report->incarnation, report->drawn, now);
     for (const auto& engine : report->loading)
         m_state.loads.pauseUntil(engine.endpoint, now + engine.remaining);
--- a/src/hornbeamgate/runtime/gateway/weights_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/weights_task.cpp
@@ -49,6 +49,7 @@
 {
     checkSuspension();
     const auto now = MonotonicClock::now();
+    m_state.duty.checkLapse(now);
     for (const auto& order : m_state.duty.takeDue(m_state.roster, now))
         begin(order);
     m_timer.set(now + kTickInterval);
@@ -110,11 +111,12 @@
     auto& run = m_runs.at(endpoint);
     const auto* engine = m_state.roster.find(endpoint);
     checkSuspension();
-    if (!engine || !m_state.duty.isHeld(now)) {
+    if (!engine || !m_state.duty.mayOrder(endpoint, now)) {
         settle(endpoint, "duty lost");
         return;
     }
     run.isOrdered = true;
+    m_state.duty.orderSent(endpoint, now);
     const auto [head, body] = m_control.encodeOrder(*engine, run.order, m_self, ordersTaken);
     m_calls.start(engine->address, requestText(head, body), now + kCallTimeout,
         [this, endpoint, number = run.number](const Result<HttpAnswer, NetError>& answer) { onOrderAnswer(endpoint, number, answer); });
