--- a/src/hornbeamgate/runtime/net/tcp_stream.cpp
+++ b/src/hornbeamgate/runtime/net/tcp_stream.cpp
@@ -15,9 +15,10 @@
 
 namespace {
 
-    /// Unacknowledged data or probes end a connection after this time, so a silent path is found well within the
-    /// shortest request deadline; a few retransmissions on the longest path fit.
-    constexpr std::chrono::milliseconds kSilenceTimeout { 2000 };
+    /// Unacknowledged data ends a connection to a server after this time, so a silent path is found well within the
+    /// shortest request deadline; three retransmissions on the longest path fit. Clients may be slow to read, so it does
+    /// not hold for theirs.
+    constexpr std::chrono::milliseconds kSilenceTimeout { 1200 };
     /// Idle time before the first probe, and between probes.
     constexpr std::chrono::seconds kProbeInterval { 1 };
     /// Unanswered probes that end a connection.
@@ -39,7 +40,6 @@
         setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(kProbeInterval.count()));
         setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(kProbeInterval.count()));
         setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kProbesUntilDead);
-        setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(kSilenceTimeout.count()));
     }
 
     /// Source that carries the stream it belongs to.
@@ -59,6 +59,7 @@
     if (descriptor < 0)
         return failure(NetError { internal::lastError("socket") });
     setConnectionOptions(descriptor);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(kSilenceTimeout.count()));
     auto stream = std::unique_ptr<TcpStream>(new TcpStream(descriptor));
     if (::connect(descriptor, internal::asGeneric(*address), sizeof *address) != 0 && errno != EINPROGRESS)
         return failure(NetError { internal::lastError("connect") });
--- a/tests/net/http_exchange.test.cpp
+++ b/tests/net/http_exchange.test.cpp
@@ -22,7 +22,7 @@
         request.connectDeadline = connectDeadline;
         request.isOwnAnswer = [id](const HttpResponseHead& head) { return head.fields.find("Id") == id; };
         exchange = std::make_unique<HttpExchange>(pool, std::move(request),
-            HttpExchange::Handlers { [this](HttpResponseHead head) { status = head.status; }, [this](std::string_view octets) { body += octets; }, [this] { isComplete = true; },
+            HttpExchange::Handlers { [this](const HttpResponseHead& head) { status = head.status; }, [this](std::string_view octets) { body += octets; }, [this] { isComplete = true; },
                 [this](ExchangeFailure reason, const std::string&) { failure = reason; } });
     }
 
--- a/tests/net/http_parser.test.cpp
+++ b/tests/net/http_parser.test.cpp
@@ -76,13 +76,13 @@
 TEST_CASE("a head or a body over its limit is told apart [http]")
 {
     Parsed parsed;
-    const auto long_head = HttpParser::forRequests({ 100, 10 }, collectInto(parsed));
-    const auto head = long_head->feed("GET / HTTP/1.1\r\nX: " + std::string(200, 'a') + "\r\n\r\n");
+    const auto longHead = HttpParser::forRequests({ 100, 10 }, collectInto(parsed));
+    const auto head = longHead->feed("GET / HTTP/1.1\r\nX: " + std::string(200, 'a') + "\r\n\r\n");
     REQUIRE_FALSE(head);
     CHECK(head.error().isTooLarge);
     CHECK(parsed.requests.empty());
-    const auto long_body = HttpParser::forRequests({ 100, 10 }, collectInto(parsed));
-    const auto body = long_body->feed("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n01234567890");
+    const auto longBody = HttpParser::forRequests({ 100, 10 }, collectInto(parsed));
+    const auto body = longBody->feed("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n01234567890");
     REQUIRE_FALSE(body);
     CHECK(body.error().isTooLarge);
     CHECK(parsed.requests.size() == 1);
--- a/tests/net/http_server_connection.test.cpp
+++ b/tests/net/http_server_connection.test.cpp
@@ -78,7 +78,8 @@
 {
     for (const auto& [octets, status] : { std::pair<std::string, std::string>("nonsense\r\n\r\n", "400"), { "GET / HTTP/1.1\r\nX: " + std::string(3000, 'a') + "\r\n\r\n", "431" },
              { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000\r\n\r\n" + std::string(3000, 'a'), "413" } }) {
-        CAPTURE(status);
+        const auto& expected = status;
+        CAPTURE(expected);
         const auto server = echoServer({ 2000, 2000, 3000ms, 15000ms });
         Client client(server->address());
         client.stream->send(octets);
--- a/tests/platform/directory.test.cpp
+++ b/tests/platform/directory.test.cpp
@@ -19,7 +19,7 @@
         auto created = HttpAcceptor::create({ "127.0.0.1", 0 }, { answerAtOnce([this](const HttpRequestMessage& message) {
                                                                      asked.push_back(message.head.method + ' ' + message.head.target);
                                                                      bodies.push_back(message.body);
-                                                                     const auto answer = answers.front();
+                                                                     auto answer = answers.front();
                                                                      answers.erase(answers.begin());
                                                                      return answer;
                                                                  }),
--- a/tests/platform/record_decoder.test.cpp
+++ b/tests/platform/record_decoder.test.cpp
@@ -89,7 +89,8 @@
         { DirectoryTopic::Daemons, R"({"ip":"10.0.0.1"})" },
     };
     for (const auto& [topic, value] : records) {
-        CAPTURE(value);
+        const auto& text = value;
+        CAPTURE(text);
         CHECK_FALSE(decode(topic, topic == DirectoryTopic::Operators ? "config" : "i-1", value));
     }
     CHECK_FALSE(decode(DirectoryTopic::Operators, "unknown", "{}"));
