--- a/src/hornbeamgate/gateway/route_table.cpp
+++ b/src/hornbeamgate/gateway/route_table.cpp
@@ -18,8 +18,6 @@
         for (const auto& key : m_config.workspaces[i].keys)
             m_workspaceByKey.emplace(key, i);
     }
-    for (std::size_t i = 0; i < m_config.services.size(); ++i)
-        m_serviceById.emplace(m_config.services[i].id.value(), i);
 }
 
 const RouteRule* RouteTable::findRoute(std::string_view authority, std::string_view path) const
@@ -40,12 +38,6 @@
     return found == m_workspaceByKey.end() ? nullptr : &m_config.workspaces[found->second];
 }
 
-const ServiceRule* RouteTable::findService(const ServiceId& id) const
-{
-    const auto found = m_serviceById.find(id.value());
-    return found == m_serviceById.end() ? nullptr : &m_config.services[found->second];
-}
-
 const ServiceId& RouteTable::chooseService(const RouteRule& route, std::uint64_t requestHash)
 {
     std::uint64_t total = 0;
--- a/src/hornbeamgate/gateway/route_table.hpp
+++ b/src/hornbeamgate/gateway/route_table.hpp
@@ -22,8 +22,6 @@
     /// Workspace that holds `secret`, or null.
     const WorkspaceRule* findWorkspace(std::string_view secret) const;
 
-    const ServiceRule* findService(const ServiceId& id) const;
-
     /// Service for a request, drawn by the route's weights; the same `requestHash` gives the same service.
     static const ServiceId& chooseService(const RouteRule& route, std::uint64_t requestHash);
 
@@ -31,7 +29,6 @@
     FleetConfig m_config;
     std::unordered_map<std::string, std::vector<std::size_t>> m_routesByAuthority; ///< longest prefix first
     std::unordered_map<std::string, std::size_t> m_workspaceByKey;
-    std::unordered_map<std::string, std::size_t> m_serviceById;
 };
 
 } // namespace hornbeamgate::gateway
--- a/src/hornbeamgate/runtime/glib_support.cpp
+++ b/src/hornbeamgate/runtime/glib_support.cpp
@@ -35,6 +35,11 @@
         return runAgain(data);
     }
 
+    gboolean runForDescriptor(gint, GIOCondition, gpointer data)
+    {
+        return runAgain(data);
+    }
+
     constexpr gint64 kNever = -1;
 
     /// Dispatches a source that stays and waits for its next ready time.
@@ -103,6 +108,11 @@
     return EventSource(attach(source, G_SOURCE_FUNC(runForSocket), std::move(call)));
 }
 
+EventSource watchReadable(int descriptor, std::function<void()> call)
+{
+    return EventSource(attach(g_unix_fd_source_new(descriptor, G_IO_IN), G_SOURCE_FUNC(runForDescriptor), std::move(call)));
+}
+
 EventSource watchSignal(int signal, std::function<void()> call)
 {
     return EventSource(attach(g_unix_signal_source_new(signal), runAgain, std::move(call)));
--- a/src/hornbeamgate/runtime/glib_support.hpp
+++ b/src/hornbeamgate/runtime/glib_support.hpp
@@ -89,6 +89,9 @@
 /// Calls `call` whenever the socket meets `condition`, until the returned source is destroyed.
 EventSource watchSocket(GSocket* socket, GIOCondition condition, std::function<void()> call);
 
+/// Calls `call` whenever `descriptor` can be read, until the returned source is destroyed.
+EventSource watchReadable(int descriptor, std::function<void()> call);
+
 /// Calls `call` when the process receives `signal`.
 EventSource watchSignal(int signal, std::function<void()> call);
 
--- a/src/hornbeamgate/runtime/net/http_connection_pool.hpp
+++ b/src/hornbeamgate/runtime/net/http_connection_pool.hpp
@@ -26,8 +26,6 @@
     /// Time for which the stream taken last from `peer` had been idle.
     Duration lastIdleTime() const { return m_lastIdleTime; }
 
-    void closeAll(const SocketAddress& peer) { m_peers.erase(peer.text()); }
-
     std::uint64_t opened() const { return m_opened; }
     std::uint64_t reused() const { return m_reused; }
     void noteOpened() { ++m_opened; }
--- a/src/hornbeamgate/runtime/net/tcp_listener.cpp
+++ b/src/hornbeamgate/runtime/net/tcp_listener.cpp
@@ -2,7 +2,6 @@
 
 #include "hornbeamgate/runtime/net/internal/socket_calls.hpp"
 
-#include <glib-unix.h>
 #include <unistd.h>
 
 namespace hornbeamgate::gateway {
@@ -14,12 +13,6 @@
     /// Accepted in one turn of the main loop, so that a herd does not stop running requests.
     constexpr int kAcceptedAtOnce = 32;
 
-    gboolean acceptReady(gint, GIOCondition, gpointer data)
-    {
-        (*static_cast<std::function<void()>*>(data))();
-        return G_SOURCE_CONTINUE;
-    }
-
 } // namespace
 
 Result<std::unique_ptr<TcpListener>, NetError> TcpListener::create(const SocketAddress& address, Accepted accepted)
@@ -48,11 +41,7 @@
     , m_address(std::move(address))
     , m_accepted(std::move(accepted))
 {
-    auto* source = g_unix_fd_source_new(descriptor, G_IO_IN);
-    auto* call = new std::function<void()>([this] { acceptAll(); });
-    g_source_set_callback(source, G_SOURCE_FUNC(acceptReady), call, [](gpointer data) { delete static_cast<std::function<void()>*>(data); });
-    g_source_attach(source, nullptr);
-    m_source = EventSource(source);
+    m_source = watchReadable(descriptor, [this] { acceptAll(); });
 }
 
 TcpListener::~TcpListener()
--- a/src/hornbeamgate/runtime/net/udp_socket.cpp
+++ b/src/hornbeamgate/runtime/net/udp_socket.cpp
@@ -2,7 +2,6 @@
 
 #include "hornbeamgate/runtime/net/internal/socket_calls.hpp"
 
-#include <glib-unix.h>
 #include <unistd.h>
 
 #include <array>
@@ -15,12 +14,6 @@
     /// Datagrams handled in one turn of the main loop.
     constexpr int kReceivedAtOnce = 64;
 
-    gboolean receiveReady(gint, GIOCondition, gpointer data)
-    {
-        (*static_cast<std::function<void()>*>(data))();
-        return G_SOURCE_CONTINUE;
-    }
-
 } // namespace
 
 Result<std::unique_ptr<UdpSocket>, NetError> UdpSocket::create(const SocketAddress& address, Received received)
@@ -43,11 +36,7 @@
     : m_descriptor(descriptor)
     , m_received(std::move(received))
 {
-    auto* source = g_unix_fd_source_new(descriptor, G_IO_IN);
-    auto* call = new std::function<void()>([this] { receiveAll(); });
-    g_source_set_callback(source, G_SOURCE_FUNC(receiveReady), call, [](gpointer data) { delete static_cast<std::function<void()>*>(data); });
-    g_source_attach(source, nullptr);
-    m_source = EventSource(source);
+    m_source = watchReadable(descriptor, [this] { receiveAll(); });
 }
 
 UdpSocket::~UdpSocket()
