Hand the weights duty over within its bound, and ask for endpoints less often in large fleets

Ruled out: lost resignations (the others joined at once, generation 1 to 8). Change: a gateway that drains leaves the group unless it holds the duty; a membership lasts 2 s, asked for every 0.4 s and never shorter than the store takes (new setting); a resigning gateway ends only when the store has its departure; a holder whose generation has not changed goes on at once. Tests: the drain and the same generation fail before.

--- a/src/hornbeamgate/gateway/weights_duty.cpp
+++ b/src/hornbeamgate/gateway/weights_duty.cpp
@@ -23,13 +23,14 @@
 
 void WeightsDuty::confirm(FencingToken token, MonotonicTime end, MonotonicTime now)
 {
-    const bool isTakenOver = !isConfirmed(now);
+    const bool isTakenOver = !isConfirmed(now) && m_lastToken != token;
     if (isTakenOver) {
         m_mayStart = now + m_lease + kOrderTravel;
         m_isHandover = m_holderResignedAt && now < *m_holderResignedAt + kHandoverTime;
         m_holderResignedAt.reset();
     }
     m_token = token;
+    m_lastToken = token;
     m_heldUntil = end;
 }
 
--- a/src/hornbeamgate/gateway/weights_duty.hpp
+++ b/src/hornbeamgate/gateway/weights_duty.hpp
@@ -40,7 +40,8 @@
     {
     }
 
-    /// The membership names this daemon as holder, valid until `end` unless confirmed again.
+    /// The membership names this daemon as holder, valid until `end` unless confirmed again. The generation that it held
+    /// before shows that nobody else held the duty meanwhile, so there is no lease to wait out.
     void confirm(FencingToken token, MonotonicTime end, MonotonicTime now);
     /// This daemon gives no more orders: another one holds the duty, or nobody does.
     void lose();
@@ -90,6 +91,7 @@
     std::map<ModelId, std::vector<Named>> m_named; ///< by version
     std::map<ModelId, WeightsVersion> m_targets;
     std::optional<FencingToken> m_token;
+    std::optional<FencingToken> m_lastToken; ///< also after the duty was lost
     MonotonicTime m_mayStart {};
     bool m_isHandover = false; ///< the holder before resigned, and its last orders are known
     std::optional<MonotonicTime> m_holderResignedAt;
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -20,24 +20,30 @@
         milliseconds staleAfter; ///< without an answer, other daemons may know more
     };
 
-    /// Endpoints register again all the time, so waiting for a change would make a call of each; a leaving endpoint must
-    /// be known within three seconds, so half a second is well within it. The others change rarely.
+    /// Endpoints register again all the time, so waiting for a change would make a call of each. The others change rarely.
     constexpr std::array<TopicSchedule, kDirectoryTopics> kSchedules { {
         { "operators", milliseconds(1500), milliseconds(0), milliseconds(2000) },
-        { "endpoints", milliseconds(0), milliseconds(500), milliseconds(1200) },
+        { "endpoints", milliseconds(0), milliseconds(500), milliseconds(2000) },
         { "daemons", milliseconds(10000), milliseconds(200), milliseconds(12000) },
     } };
     static_assert(kSchedules.size() == kDirectoryTopics);
 
+    /// Added to the pause for each further daemon, so that the store's calls grow slower than the fleet.
+    constexpr milliseconds kPausePerPeer { 25 };
+    /// A leaving endpoint must be known within three seconds; a call that times out and is repeated fits in.
+    constexpr milliseconds kLongestPause { 1200 };
+
     /// Pause after the first failed call, doubled up to the longest one, which bounds the calls to a store that is down.
     constexpr milliseconds kFirstRetryPause { 200 };
     constexpr milliseconds kLongestRetryPause { 800 };
     constexpr int kMostDoublings = 2;
     /// Failed calls after which the store counts as lost for the log.
     constexpr int kFailuresUntilLost = 2;
-    /// A member of the duty group that is silent for this long loses its duties.
-    constexpr milliseconds kDutyLifetime { 3000 };
-    constexpr milliseconds kDutyInterval { 1000 };
+    /// A member of the duty group that is silent for this long loses its duties. The next holder of a duty whose holder
+    /// died waits for that and for the lease, both well within the time that new weights may take.
+    constexpr milliseconds kDutyLifetime { 2000 };
+    /// Some calls to the store get no answer; three of them may fail in a row within the lifetime.
+    constexpr milliseconds kDutyInterval { 400 };
     /// Taken off the lifetime of a duty, for orders that are on their way.
     constexpr milliseconds kDutyMargin { 500 };
     /// Without a word of the holder for so long, the duty is sought; its reports come several times a second.
@@ -132,7 +138,16 @@
     }
     current.hasListing = true;
     current.next = std::max(current.next, page->next);
-    current.timer.set(now + schedule.pause);
+    current.timer.set(now + pauseOf(topic));
+}
+
+Duration DirectoryTask::pauseOf(DirectoryTopic topic) const
+{
+    const auto pause = scheduleOf(topic).pause;
+    if (topic != DirectoryTopic::Endpoints)
+        return pause;
+    const auto peers = static_cast<std::int64_t>(m_state.peers.runningCount(MonotonicClock::now()));
+    return std::min(pause + kPausePerPeer * peers, kLongestPause);
 }
 
 void DirectoryTask::takeFromPeer(DirectoryTopic topic, const std::vector<DirectoryRecord>& records)
@@ -235,7 +250,6 @@
 void DirectoryTask::withdraw(std::function<void()> done)
 {
     m_announceTimer.clear();
-    resignDuty();
     m_directory.announce(m_self, true, [done = std::move(done)](const Result<LogOffset, DirectoryFault>&) { done(); });
 }
 
@@ -243,8 +257,13 @@
 {
     const auto asked = MonotonicClock::now();
     // A holder keeps the duty while it drains, but none that drains takes it.
-    if (m_hasResigned || (m_state.isDraining && !m_isDutyHolder))
+    if (m_hasResigned)
+        return;
+    if (m_state.isDraining && !m_isDutyHolder) {
+        // A member that does not call again would keep the duty from the others until its lifetime ends.
+        leaveDuty([] {});
         return;
+    }
     if (m_isDutyHolder && !m_state.duty.isConfirmed(asked)) {
         // Another daemon may have taken the lapsed duty over, and is heard if so.
         m_isDutyHolder = false;
@@ -256,15 +275,16 @@
     const auto seekAt = m_holderHeardAt + kHolderSilence + kSeekStagger * static_cast<std::int64_t>(rank);
     if (!m_isDutyHolder && asked < seekAt) {
         m_dutyTimer.set(std::min(seekAt, asked + kDutyInterval));
-        leaveDuty();
+        leaveDuty([] {});
         return;
     }
     m_dutyTimer.set(asked + kDutyInterval);
     m_isDutyMember = true;
     const auto suspended = suspendedTime();
-    m_directory.holdDuty(m_self.host, kDutyLifetime, [this, asked, suspended](const Result<DutyGrant, DirectoryFault>& grant) {
+    const auto lifetime = std::max(kDutyLifetime, std::chrono::ceil<milliseconds>(m_state.settings.leastMembership));
+    m_directory.holdDuty(m_self.host, lifetime, [this, asked, suspended, lifetime](const Result<DutyGrant, DirectoryFault>& grant) {
         if (grant && !m_hasResigned)
-            onDutyGrant(*grant, asked + kDutyLifetime - kDutyMargin - (suspendedTime() - suspended), MonotonicClock::now());
+            onDutyGrant(*grant, asked + lifetime - kDutyMargin - (suspendedTime() - suspended), MonotonicClock::now());
     });
 }
 
@@ -279,13 +299,18 @@
         m_state.duty.lose();
 }
 
-void DirectoryTask::resignDuty()
+void DirectoryTask::drainStarted()
+{
+    seekDuty();
+}
+
+void DirectoryTask::resignDuty(std::function<void()> done)
 {
     m_hasResigned = true;
     m_isDutyHolder = false;
     m_dutyTimer.clear();
     m_state.duty.lose();
-    leaveDuty();
+    leaveDuty(std::move(done));
 }
 
 void DirectoryTask::dutyHeldElsewhere(MonotonicTime now)
@@ -305,13 +330,14 @@
     seekDuty();
 }
 
-void DirectoryTask::leaveDuty()
+void DirectoryTask::leaveDuty(std::function<void()> done)
 {
-    if (!std::exchange(m_isDutyMember, false))
+    if (!std::exchange(m_isDutyMember, false)) {
+        done();
         return;
-    m_directory.leaveDuty(m_self.host, [](const Result<bool, DirectoryFault>&) {
-        // A member that could not leave lapses by itself.
-    });
+    }
+    // A member that could not leave lapses by itself.
+    m_directory.leaveDuty(m_self.host, [done = std::move(done)](const Result<bool, DirectoryFault>&) { done(); });
 }
 
 void DirectoryTask::forgetEndpoint(const EndpointId& id)
--- a/src/hornbeamgate/runtime/gateway/directory_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.hpp
@@ -15,11 +15,13 @@
     DirectoryTask(GatewayState& state, Directory& directory, DaemonEntry self);
 
     void start();
+    /// The daemon drains: it keeps a duty that it holds until it ends, and takes none.
+    void drainStarted();
+    /// Gives the duty up for good, so that others can take it before the registration is withdrawn.
+    void resignDuty(std::function<void()> done);
     /// Withdraws this daemon's registration; `done` comes when the store has it, or has not answered.
     void withdraw(std::function<void()> done);
 
-    /// Gives the duty up for good, because this daemon is about to end.
-    void resignDuty();
     /// Another daemon says that it holds the duty.
     void dutyHeldElsewhere(MonotonicTime now);
     /// Another daemon says how often it gave the duty up.
@@ -46,6 +48,8 @@
     };
 
     void poll(DirectoryTopic topic);
+    /// Between an answer and the next call.
+    Duration pauseOf(DirectoryTopic topic) const;
     void onPage(DirectoryTopic topic, bool isListing, const Result<DirectoryPage, DirectoryFault>& page);
     void apply(DirectoryTopic topic, const DirectoryRecord& record);
     void withdrawRecord(DirectoryTopic topic, const std::string& key);
@@ -56,7 +60,8 @@
     void announce();
     void seekDuty();
     void onDutyGrant(const DutyGrant& grant, MonotonicTime end, MonotonicTime now);
-    void leaveDuty();
+    /// `done` comes when the store has answered, at once for a daemon that is no member.
+    void leaveDuty(std::function<void()> done);
     void expireEndpoints();
     /// Drops what was learnt of an endpoint that is gone or started again.
     void forgetEndpoint(const EndpointId& id);
--- a/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
@@ -112,6 +112,7 @@
     m_state.isDraining = true;
     m_drainBegan = MonotonicClock::now();
     logEvent(LogEvent::DrainStarted, { { "requests", m_callers->busyConnections() } });
+    m_directory.drainStarted();
     m_drainTimer.set(m_drainBegan + kBalancerNotices);
 }
 
@@ -129,11 +130,11 @@
 
 void GatewayDaemon::leave()
 {
-    const auto hasWithdrawn = std::make_shared<bool>(false);
-    m_directory.resignDuty();
+    const auto pending = std::make_shared<int>(2);
+    m_directory.resignDuty([pending] { --*pending; });
     m_peers->sendReport();
-    m_directory.withdraw([hasWithdrawn] { *hasWithdrawn = true; });
-    m_loop.quitWhen([hasWithdrawn] { return *hasWithdrawn; }, MonotonicClock::now() + kLeaveTimeout);
+    m_directory.withdraw([pending] { --*pending; });
+    m_loop.quitWhen([pending] { return *pending == 0; }, MonotonicClock::now() + kLeaveTimeout);
 }
 
 void GatewayDaemon::watchSettings()
--- a/src/hornbeamgate/settings/gateway_settings.cpp
+++ b/src/hornbeamgate/settings/gateway_settings.cpp
@@ -12,6 +12,7 @@
     constexpr double kRetryRatio = 0.1;
     constexpr std::chrono::milliseconds kWeightsBound { 10'000 };
     constexpr std::chrono::milliseconds kDutyLease { 3'000 };
+    constexpr std::chrono::milliseconds kLeastMembership { 1'000 };
 
     GatewaySettings readGateway(SettingsReader& reader)
     {
@@ -32,6 +33,7 @@
         settings.retries.slack = static_cast<double>(reader.number("retry_slack", kCountRange, 0));
         settings.retries.window = reader.milliseconds("retry_window_ms", kTimeoutRange, kRetryWindow);
         settings.weightsBound = reader.milliseconds("weights_bound_ms", kTimeoutRange, kWeightsBound);
+        settings.leastMembership = reader.milliseconds("least_membership_ms", kTimeoutRange, kLeastMembership);
         settings.dutyLease = reader.milliseconds("duty_lease_ms", kTimeoutRange, kDutyLease);
         return settings;
     }
--- a/tests/gateway/weights_duty.test.cpp
+++ b/tests/gateway/weights_duty.test.cpp
@@ -65,6 +65,21 @@
     CHECK_FALSE(duty.takeDue(roster, at(9500ms)).empty());
 }
 
+TEST_CASE("a holder that lapsed and comes back in the same generation goes on at once [weights]")
+{
+    const auto roster = rosterOf(6);
+    WeightsDuty duty(kLease, kBound);
+    duty.setTarget(kModel, WeightsVersion(2), at(0ms));
+    duty.confirm(FencingToken(7), at(5s), at(0ms));
+    duty.checkLapse(at(5s));
+    CHECK_FALSE(duty.mayOrder(EndpointId("e100"), at(5s)));
+    duty.confirm(FencingToken(7), at(9s), at(6s));
+    CHECK(duty.mayOrder(EndpointId("e100"), at(6s)));
+    duty.checkLapse(at(9s));
+    duty.confirm(FencingToken(8), at(20s), at(10s));
+    CHECK_FALSE(duty.mayOrder(EndpointId("e100"), at(10s)));
+}
+
 TEST_CASE("after a resignation only the engines that were ordered lately wait [weights]")
 {
     const auto roster = rosterOf(6);
--- a/tests/platform/directory_task.test.cpp
+++ b/tests/platform/directory_task.test.cpp
@@ -98,6 +98,19 @@
     CHECK(world.state.roster.find(EndpointId("a")));
 }
 
+TEST_CASE("calls for the endpoints grow slower than the fleet, and a leaving endpoint is known in time [directory]")
+{
+    World world;
+    for (int i = 0; i < 40; ++i)
+        world.state.peers.add(HostId("front-" + std::to_string(100 + i)), {}, Incarnation(1), MonotonicClock::now());
+    world.directory.answer(DirectoryTopic::Endpoints, DirectoryPage { { engine("a", 1) }, LogOffset(2) });
+    const auto answered = MonotonicClock::now();
+    REQUIRE(runUntil([&] { return world.directory.isAsked(DirectoryTopic::Endpoints); }));
+    const auto pause = MonotonicClock::now() - answered;
+    CHECK(pause > 1s);
+    CHECK(pause < 1500ms);
+}
+
 TEST_CASE("a starting daemon waits for the holder's word before it seeks the duty [directory]")
 {
     World world;
@@ -135,6 +148,49 @@
     CHECK(world.directory.grants.size() == 1);
 }
 
+TEST_CASE("a daemon that drains leaves the duty to others, unless it holds it [directory]")
+{
+    World seeker;
+    REQUIRE(runUntil([&] { return !seeker.directory.grants.empty(); }));
+    CHECK(seeker.directory.left == 0);
+    seeker.state.isDraining = true;
+    seeker.task.drainStarted();
+    CHECK(seeker.directory.left == 1);
+
+    World holder;
+    REQUIRE(runUntil([&] { return !holder.directory.grants.empty(); }));
+    holder.directory.grants.front()(DutyGrant { FencingToken(3), true });
+    holder.state.isDraining = true;
+    holder.task.drainStarted();
+    CHECK(holder.directory.left == 0);
+    CHECK(holder.state.duty.isConfirmed(MonotonicClock::now()));
+    bool isDone = false;
+    holder.task.resignDuty([&] { isDone = true; });
+    REQUIRE(holder.directory.departures.size() == 1);
+    CHECK_FALSE(isDone);
+    holder.directory.departures.front()(true);
+    CHECK(isDone);
+}
+
+TEST_CASE("the next holder of a duty whose holder died gives orders well within the time that weights may take [directory]")
+{
+    World world;
+    const auto died = MonotonicClock::now();
+    REQUIRE(runUntil([&] { return !world.directory.grants.empty(); }));
+    const auto granted = std::max(MonotonicClock::now() - died, Duration(world.directory.dutyLifetime));
+    // Three groups of engines load one after the other, a second and some queued runs each.
+    constexpr auto kFleetLoads = 4s;
+    CHECK(granted + world.settings.dutyLease + kFleetLoads < world.settings.weightsBound);
+}
+
+TEST_CASE("a membership is never asked for a shorter lifetime than the store takes [directory]")
+{
+    World world;
+    world.settings.leastMembership = 5s;
+    REQUIRE(runUntil([&] { return !world.directory.grants.empty(); }));
+    CHECK(world.directory.dutyLifetime == 5s);
+}
+
 TEST_CASE("weights that a starting daemon finds count as named long ago [directory]")
 {
     World world;
--- a/tests/platform/fake_directory.hpp
+++ b/tests/platform/fake_directory.hpp
@@ -17,8 +17,16 @@
         follows[index(topic)] = std::move(report);
     }
     void announce(const DaemonEntry&, bool, Report<LogOffset> report) override { announcements.push_back(std::move(report)); }
-    void holdDuty(const HostId&, std::chrono::milliseconds, Report<DutyGrant> report) override { grants.push_back(std::move(report)); }
-    void leaveDuty(const HostId&, Report<bool>) override { ++left; }
+    void holdDuty(const HostId&, std::chrono::milliseconds lifetime, Report<DutyGrant> report) override
+    {
+        dutyLifetime = lifetime;
+        grants.push_back(std::move(report));
+    }
+    void leaveDuty(const HostId&, Report<bool> report) override
+    {
+        ++left;
+        departures.push_back(std::move(report));
+    }
     Result<DirectoryItem, RecordFault> decode(DirectoryTopic topic, const DirectoryRecord& record) const override { return platform::decodeRecord(topic, record); }
 
     static std::size_t index(DirectoryTopic topic) { return static_cast<std::size_t>(topic); }
@@ -37,6 +45,8 @@
     std::array<LogOffset, kDirectoryTopics> followedFrom {};
     std::vector<Report<LogOffset>> announcements;
     std::vector<Report<DutyGrant>> grants;
+    std::vector<Report<bool>> departures;
+    std::chrono::milliseconds dutyLifetime {};
     int left = 0;
 };
 
--- a/tests/platform/settings_template.test.cpp
+++ b/tests/platform/settings_template.test.cpp
@@ -30,6 +30,7 @@
         { "{{bounds.budget-window-s}}", "10" },
         { "{{bounds.version-ms}}", "10000" },
         { "{{bounds.lease-duration-ms}}", "3000" },
+        { "{{platform.min-ttl-ms|json}}", "1000" },
     };
     std::ifstream file(HORNBEAMGATE_SETTINGS_TEMPLATE);
     REQUIRE(file);
