--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -329,7 +329,7 @@
         return MonotonicClock::now() >= longAfter;
     }));
     CHECK(world.state.sends == 1);
-    for (const std::uint64_t number : { 100, 101 }) {
+    for (const std::uint64_t number : { 100U, 101U }) {
         world.state.loads.sent(EndpointId("e1"), number, 300, MonotonicClock::now());
         world.state.loads.answerBegan(EndpointId("e1"), number);
     }
