Let broken streams pass the line, and give no duty to a daemon that left its group

Cause: found on reading the change again. A stream that broke off would have waited for room before it goes on, and an answer of the store that comes after the departure would have made a draining daemon holder a second time. Both tests fail before.

--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -283,7 +283,8 @@
     const auto suspended = suspendedTime();
     const auto lifetime = std::max(kDutyLifetime, std::chrono::ceil<milliseconds>(m_state.settings.leastMembership));
     m_directory.holdDuty(m_self.host, lifetime, [this, asked, suspended, lifetime](const Result<DutyGrant, DirectoryFault>& grant) {
-        if (grant && !m_hasResigned)
+        // The answer may come after this daemon left the group.
+        if (grant && m_isDutyMember)
             onDutyGrant(*grant, asked + lifetime - kDutyMargin - (suspendedTime() - suspended), MonotonicClock::now());
     });
 }
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -185,7 +185,8 @@
     const auto now = MonotonicClock::now();
     const auto placement = m_state.placer.choose(placementDemand(now), { m_state.roster, m_state.loads, m_state.blocks }, now);
     const auto* endpoint = placement.endpoint ? m_state.roster.find(*placement.endpoint) : nullptr;
-    if (endpoint && !placement.hasRoom)
+    // A stream that broke off goes on at once; its caller waits for the next event.
+    if (endpoint && !placement.hasRoom && !m_hasBegunAnswer)
         return false;
     if (!endpoint) {
         leaveLine();
@@ -290,7 +291,7 @@
         HttpExchange::Handlers { [this](HttpResponseHead head) { onHead(std::move(head)); }, [this](std::string_view octets) { onBody(octets); },
             [this] { onComplete(); }, [this](ExchangeFailure failure, const std::string& reason) { onFailed(failure, reason); } });
     if (m_route->mayRunAgain() && m_sends < m_route->maxEndpoints) {
-        const double part = m_route->isStreaming ? 1 : kOverduePart;
+        const double part = m_route->isStreaming ? 1.0 : kOverduePart;
         m_overdueTimer.set(now + std::chrono::duration_cast<Duration>(m_route->latencyObjective * part));
     }
 }
--- a/tests/platform/directory_task.test.cpp
+++ b/tests/platform/directory_task.test.cpp
@@ -172,6 +172,16 @@
     CHECK(isDone);
 }
 
+TEST_CASE("a grant that comes after the daemon left the group gives it no duty [directory]")
+{
+    World world;
+    REQUIRE(runUntil([&] { return !world.directory.grants.empty(); }));
+    world.state.isDraining = true;
+    world.task.drainStarted();
+    world.directory.grants.front()(DutyGrant { FencingToken(3), true });
+    CHECK_FALSE(world.state.duty.isConfirmed(MonotonicClock::now()));
+}
+
 TEST_CASE("the next holder of a duty whose holder died gives orders well within the time that weights may take [directory]")
 {
     World world;
--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -378,6 +378,21 @@
     CHECK(left.state.sends == 0);
 }
 
+TEST_CASE("a stream that broke off goes on at another engine although that one has much to read [request]")
+{
+    World world;
+    world.addEndpoint("e2", world.second.address());
+    world.state.loads.pauseUntil(EndpointId("e2"), MonotonicClock::now() + 1h);
+    world.request("/stream/a", "Authorization: Bearer key\r\nX-Hornbeamgate-Prompt-Prefix: a:13000,b:3700\r\n");
+    world.first.waitFor(0, "hi");
+    world.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1)));
+    world.waitFor(event(1));
+    world.state.loads.sent(EndpointId("e2"), 100, 40'000, MonotonicClock::now());
+    world.first.drop(0);
+    world.second.waitFor(0, "Last-Event-Id: 1");
+    CHECK(world.state.waiting.size() == 0);
+}
+
 TEST_CASE("a request without an answer in time ends at its route's timeout, and its engine stops [request]")
 {
     World world;
