Tell no resignation when the duty moves to another member

A member that joins moves the duty in two steps; the holder that lost it in the first step counted that as a resignation, on which the others joined at once, and each join moved the duty again: eight moves in 3 s, each of which starts the wait for the lease anew. Ruled out: the store's own redistribution (generations grow by two and three a turn, as joins and departures do). The new test fails before.

--- a/src/hornbeamgate/gateway/weights_duty.cpp
+++ b/src/hornbeamgate/gateway/weights_duty.cpp
@@ -34,7 +34,7 @@
     m_heldUntil = end;
 }
 
-void WeightsDuty::lose()
+void WeightsDuty::resign()
 {
     if (m_token)
         ++m_resignations;
@@ -44,7 +44,7 @@
 void WeightsDuty::checkLapse(MonotonicTime now)
 {
     if (m_token && now >= m_heldUntil)
-        lose();
+        resign();
 }
 
 void WeightsDuty::holderResigned(const std::vector<RecentOrder>& orders, MonotonicTime now)
--- a/src/hornbeamgate/gateway/weights_duty.hpp
+++ b/src/hornbeamgate/gateway/weights_duty.hpp
@@ -43,8 +43,11 @@
     /// The membership names this daemon as holder, valid until `end` unless confirmed again. The generation that it held
     /// before shows that nobody else held the duty meanwhile, so there is no lease to wait out.
     void confirm(FencingToken token, MonotonicTime end, MonotonicTime now);
-    /// This daemon gives no more orders: another one holds the duty, or nobody does.
-    void lose();
+    /// This daemon gives no more orders, and others may take the duty at once.
+    void resign();
+    /// This daemon gives no more orders, since the membership named another one. That is no resignation: if it were told
+    /// as one, those that hear it would join, and each join moves the duty again.
+    void lose() { m_token.reset(); }
     /// Gives the duty up when its membership was not confirmed in time.
     void checkLapse(MonotonicTime now);
     /// How often this daemon gave the duty up.
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -310,7 +310,7 @@
     m_hasResigned = true;
     m_isDutyHolder = false;
     m_dutyTimer.clear();
-    m_state.duty.lose();
+    m_state.duty.resign();
     leaveDuty(std::move(done));
 }
 
--- a/src/hornbeamgate/runtime/gateway/weights_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/weights_task.cpp
@@ -41,7 +41,7 @@
 {
     const auto suspended = suspendedTime();
     if (suspended > m_suspendedTime + kClockReadingError)
-        m_state.duty.lose();
+        m_state.duty.resign();
     m_suspendedTime = suspended;
 }
 
--- a/tests/platform/directory_task.test.cpp
+++ b/tests/platform/directory_task.test.cpp
@@ -172,6 +172,19 @@
     CHECK(isDone);
 }
 
+TEST_CASE("a holder whose duty moves to another member does not tell the others to seek it [directory]")
+{
+    World world;
+    REQUIRE(runUntil([&] { return !world.directory.grants.empty(); }));
+    world.directory.grants[0](DutyGrant { FencingToken(3), true });
+    REQUIRE(runUntil([&] { return world.directory.grants.size() > 1; }));
+    world.directory.grants[1](DutyGrant { FencingToken(4), false });
+    CHECK_FALSE(world.state.duty.isConfirmed(MonotonicClock::now()));
+    CHECK(world.state.duty.resignations() == 0);
+    world.task.resignDuty([] {});
+    CHECK(world.state.duty.resignations() == 0);
+}
+
 TEST_CASE("a grant that comes after the daemon left the group gives it no duty [directory]")
 {
     World world;
