Use the placer's look-up of regions in the gateway's request

The request had the same look-up as a lambda, and left the line twice where a refusal leaves it anyway. Behaviour stays as it is; test-gateway and test-platform pass, format and lint of both files are clean.

--- a/src/hornbeamgate/gateway/placement.hpp
+++ b/src/hornbeamgate/gateway/placement.hpp
@@ -80,6 +80,9 @@
 
     Placement choose(const PlacementDemand& demand, const EndpointView& view, MonotonicTime now) const;
 
+    /// Region of a data centre; empty for an unknown one.
+    RegionId regionOf(const DataCenterId& dataCenter) const;
+
     /// Learns how long answers of a service take to begin, for estimates of waiting.
     void noteServiceTime(const ServiceId& service, Duration time);
 
@@ -120,7 +123,6 @@
     Duration fetchingTime(const EndpointEntry& from, const EndpointEntry& to, std::int64_t tokens) const;
     static Shared sharedPrefix(const PlacementDemand& demand);
     static WeightsVersion weightsOf(const EndpointEntry& entry, const PlacementDemand& demand);
-    RegionId regionOf(const DataCenterId& dataCenter) const;
     Duration travelCost(const EndpointEntry& entry) const;
     /// Whether the endpoint should get a further long prompt now.
     static bool hasRoom(const EndpointEntry& entry, const EndpointLoads& loads, MonotonicTime now);
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -189,7 +189,6 @@
     if (endpoint && !placement.hasRoom && !m_hasBegunAnswer)
         return false;
     if (!endpoint) {
-        leaveLine();
         refuseUnplaced(placement);
         return true;
     }
@@ -211,12 +210,8 @@
 
 const BlockStore* GatewayRequest::nearbyBlockStore(const EndpointEntry& endpoint) const
 {
-    const auto regionOf = [this](const DataCenterId& dataCenter) {
-        const auto found = m_state.settings.regions.find(dataCenter);
-        return found == m_state.settings.regions.end() ? RegionId() : found->second;
-    };
     for (const auto& store : m_routes->config().blockStores) {
-        if (regionOf(store.dataCenter) == regionOf(endpoint.dataCenter))
+        if (m_state.placer.regionOf(store.dataCenter) == m_state.placer.regionOf(endpoint.dataCenter))
             return &store;
     }
     return nullptr;
