Record the orders of the rollout leader in the store, and ignore resignations of replaced leaders

After the power cut at 34.0 s the next leader had the duty at 37.0 s and gave its first order at 40.5 s, on version 4 of 30.0 s. (2) A leader frozen from 21.5 to 28.8 s woke, found its leadership expired and reported a resignation; each other daemon joined the group at once, and the leader changed four times within 2 s, each with its own wait. Ruled out: slow loads (0.4 to 1.5 s each, four at a time), the store (stable from 22.7 s), lost orders (none refused).

Change: OrderJournal, a state machine without I/O. A host never waits for its own orders, and the last leader's host resumes at once after a restart. RolloutElection takes the membership logic out of the directory task and ignores a resignation of an older generation. Requests prefer up-to-date engines also while most are overdue. A starting daemon learns from peers how old a target is.

--- a/src/hornbeamgate/gateway/peer_report.cpp
+++ b/src/hornbeamgate/gateway/peer_report.cpp
@@ -20,9 +20,12 @@
     json loaded = json::array();
     for (const auto& weights : report.loaded)
         loaded.push_back(json::array({ weights.endpoint.value(), weights.model.value(), weights.version.value() }));
-    json orders = json::array();
-    for (const auto& order : report.recentOrders)
-        orders.push_back(json::array({ order.endpoint.value(), order.age.count() }));
+    json orderAges = json::array();
+    for (const auto& order : report.orderAges)
+        orderAges.push_back(json::array({ order.endpoint.value(), order.requestedAt.value(), order.age.count() }));
+    json targetAges = json::array();
+    for (const auto& target : report.targetAges)
+        targetAges.push_back(json::array({ target.model.value(), target.version.value(), target.age.count() }));
     json pendingPrefills = json::array();
     for (const auto& [endpoint, tokens] : report.pendingPrefillTokens)
         pendingPrefills.push_back(json::array({ endpoint.value(), tokens }));
@@ -30,11 +33,14 @@
     for (const auto& blockUse : report.blockUses)
         blockUses.push_back(json::array({ blockUse.endpoint.value(), blockUse.blocks, blockUse.age.count() }));
     return toCbor(json::array({ report.host.value(), report.incarnation.value(), std::move(ends), std::move(drawn), std::move(loading),
-        report.address.ip, report.address.port, std::move(loaded), std::move(pendingPrefills), report.isRolloutLeader, report.resignations, report.isLeaving, std::move(orders), std::move(blockUses) }));
+        report.address.ip, report.address.port, std::move(loaded), std::move(pendingPrefills), report.leadership.isLeader, report.leadership.resignations, report.isLeaving, json::array(), std::move(blockUses),
+        report.leadership.generation.value(), report.leadership.resignedGeneration.value(), std::move(targetAges), std::move(orderAges), report.isAskingForOrderAges }));
 }
 
 Result<PeerReport, CodecError> decodePeerReport(BytesView encoded)
 {
+    /// Reports of daemons that do not number their leaderships end here.
+    constexpr std::size_t kFieldsWithoutGenerations = 14;
     const auto value = fromCbor(encoded);
     if (!value)
         return failure(value.error());
@@ -53,13 +59,21 @@
             report.loaded.push_back({ EndpointId(item.at(0).get<std::string>()), ModelId(item.at(1).get<std::string>()), WeightsVersion(item.at(2).get<std::uint64_t>()) });
         for (const auto& item : value->at(8))
             report.pendingPrefillTokens[EndpointId(item.at(0).get<std::string>())] = item.at(1).get<std::int64_t>();
-        report.isRolloutLeader = value->at(9).get<bool>();
-        report.resignations = value->at(10).get<std::uint64_t>();
+        report.leadership.isLeader = value->at(9).get<bool>();
+        report.leadership.resignations = value->at(10).get<std::uint64_t>();
         report.isLeaving = value->at(11).get<bool>();
-        for (const auto& item : value->at(12))
-            report.recentOrders.push_back({ EndpointId(item.at(0).get<std::string>()), std::chrono::milliseconds(item.at(1).get<std::int64_t>()) });
+        // Field 12 held the leader's recent orders; it stays empty so that older daemons can read the report.
         for (const auto& item : value->at(13))
             report.blockUses.push_back({ EndpointId(item.at(0).get<std::string>()), item.at(1).get<BlockKey>(), std::chrono::milliseconds(item.at(2).get<std::int64_t>()) });
+        if (value->size() <= kFieldsWithoutGenerations)
+            return report;
+        report.leadership.generation = FencingToken(value->at(14).get<std::uint64_t>());
+        report.leadership.resignedGeneration = FencingToken(value->at(15).get<std::uint64_t>());
+        for (const auto& item : value->at(16))
+            report.targetAges.push_back({ ModelId(item.at(0).get<std::string>()), WeightsVersion(item.at(1).get<std::uint64_t>()), std::chrono::milliseconds(item.at(2).get<std::int64_t>()) });
+        for (const auto& item : value->at(17))
+            report.orderAges.push_back({ EndpointId(item.at(0).get<std::string>()), LogOffset(item.at(1).get<std::uint64_t>()), std::chrono::milliseconds(item.at(2).get<std::int64_t>()) });
+        report.isAskingForOrderAges = value->at(18).get<bool>();
         return report;
     } catch (const json::exception& error) {
         return failure(CodecError { error.what() });
--- a/src/hornbeamgate/gateway/peer_report.hpp
+++ b/src/hornbeamgate/gateway/peer_report.hpp
@@ -4,6 +4,7 @@
 #include "hornbeamgate/base/socket_address.hpp"
 #include "hornbeamgate/gateway/block_directory.hpp"
 #include "hornbeamgate/gateway/directory_replica.hpp"
+#include "hornbeamgate/gateway/rollout_election.hpp"
 #include "hornbeamgate/gateway/weights_rollout.hpp"
 #include "hornbeamgate/gateway/workspace_rate_limiter.hpp"
 
@@ -30,9 +31,10 @@
     Incarnation incarnation;
     SocketAddress address; ///< address at which the sender receives reports
     std::array<LogOffset, kDirectoryTopics> directoryEnds {};
-    bool isRolloutLeader = false; ///< the sender issues the weights orders
-    std::uint64_t resignations = 0; ///< number of times the sender gave up leadership of the rollout
-    std::vector<RecentOrder> recentOrders;
+    LeadershipReport leadership;
+    std::vector<OrderAge> orderAges; ///< of orders that the sender knows as rollout leader or, in an answer, has heard
+    bool isAskingForOrderAges = false; ///< the sender is a new leader; whoever heard the previous one's reports answers
+    std::vector<TargetAge> targetAges;
     bool isLeaving = false; ///< the sender is draining
     DrawnUnits drawn;
     std::vector<LoadingEngine> loading;
--- a/src/hornbeamgate/gateway/placement.cpp
+++ b/src/hornbeamgate/gateway/placement.cpp
@@ -76,9 +76,23 @@
 }
 
 Placement Placer::choose(const PlacementRequest& request, const EndpointView& view, MonotonicTime now) const
+{
+    auto entries = availableEndpoints(request, view.registry);
+    const auto isOverdue = [&request](const auto* entry) { return weightsOf(*entry, request) < request.oldestWeights; };
+    const auto overdue = static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(), isOverdue));
+    if (overdue == 0)
+        return chooseAmong(entries, request, view, now);
+    auto upToDate = entries;
+    std::erase_if(upToDate, isOverdue);
+    const auto placement = chooseAmong(upToDate, request, view, now);
+    // If most endpoints are overdue, for example after a store outage, excluding them would refuse most requests.
+    const bool areMostOverdue = 2 * overdue >= entries.size();
+    return placement.endpoint || !areMostOverdue ? placement : chooseAmong(entries, request, view, now);
+}
+
+Placement Placer::chooseAmong(const std::vector<const EndpointEntry*>& entries, const PlacementRequest& request, const EndpointView& view, MonotonicTime now) const
 {
     const auto shared = sharedPrefix(request);
-    const auto entries = eligible(request, view.registry);
     const auto peers = groupByWeights(entries, request, shared, view, now);
     std::optional<Candidate> best;
     for (const auto* entry : entries) {
@@ -107,18 +121,13 @@
     return placement;
 }
 
-std::vector<const EndpointEntry*> Placer::eligible(const PlacementRequest& request, const EndpointRegistry& registry)
+std::vector<const EndpointEntry*> Placer::availableEndpoints(const PlacementRequest& request, const EndpointRegistry& registry)
 {
     std::vector<const EndpointEntry*> entries;
     for (const auto& [id, entry] : registry.entries()) {
         if (entry.service == request.service && !entry.isLeaving)
             entries.push_back(&entry);
     }
-    const auto isOverdue = [&request](const auto* entry) { return weightsOf(*entry, request) < request.oldestWeights; };
-    const auto overdue = static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(), isOverdue));
-    // If most engines are overdue, for example during a store outage, excluding them would refuse most requests.
-    if (2 * overdue < entries.size())
-        std::erase_if(entries, isOverdue);
     return entries;
 }
 
--- a/src/hornbeamgate/gateway/weights_rollout.cpp
+++ b/src/hornbeamgate/gateway/weights_rollout.cpp
@@ -14,73 +14,70 @@
     constexpr int kMaxDoublings = 3;
     /// Longest time that a request may wait in an engine's queue.
     constexpr std::chrono::milliseconds kMaxQueueTime { 2000 };
-    /// A takeover within this time after a resignation leaves no time for another leader in between.
-    constexpr std::chrono::milliseconds kHandoverWindow { 2000 };
-    /// Time for an order to reach its engine, added to the lease.
-    constexpr std::chrono::milliseconds kOrderTransitTime { 500 };
 
 } // namespace
 
 void WeightsRollout::confirm(FencingToken token, MonotonicTime end, MonotonicTime now)
 {
-    const bool isTakenOver = !isConfirmed(now) && m_lastToken != token;
-    if (isTakenOver) {
-        m_ordersAllowedAt = now + m_lease + kOrderTransitTime;
-        m_isHandover = m_leaderResignedAt && now < *m_leaderResignedAt + kHandoverWindow;
-        m_leaderResignedAt.reset();
-    }
+    if (isConfirmed(now))
+        m_journal.setToken(token);
+    else
+        m_journal.takeOver(token);
     m_token = token;
-    m_lastToken = token;
     m_confirmedUntil = end;
 }
 
-void WeightsRollout::resign()
+void WeightsRollout::loseLeadership()
 {
-    if (m_token)
-        ++m_resignations;
     m_token.reset();
+    m_journal.release();
 }
 
-void WeightsRollout::resignIfExpired(MonotonicTime now)
+void WeightsRollout::update(MonotonicTime now)
 {
-    if (m_token && now >= m_confirmedUntil)
-        resign();
+    if (m_token && (now >= m_confirmedUntil || m_journal.isSuperseded()))
+        loseLeadership();
 }
 
-void WeightsRollout::leaderResigned(const std::vector<RecentOrder>& orders, MonotonicTime now)
+void WeightsRollout::setTarget(const ModelId& model, WeightsVersion version, MonotonicTime now)
 {
-    m_leaderResignedAt = now;
-    for (const auto& order : orders)
-        m_previousLeaderOrders[order.endpoint] = now - order.age;
+    auto& target = m_targets[model];
+    if (version <= target)
+        return;
+    target = version;
+    m_targetHistory[model].push_back({ version, now });
 }
 
-bool WeightsRollout::mayOrder(const EndpointId& endpoint, MonotonicTime now) const
+void WeightsRollout::setTargetOfUnknownAge(const ModelId& model, WeightsVersion version, MonotonicTime now)
 {
-    if (!isConfirmed(now))
-        return false;
-    if (now >= m_ordersAllowedAt)
-        return true;
-    const auto foreign = m_previousLeaderOrders.find(endpoint);
-    return m_isHandover && (foreign == m_previousLeaderOrders.end() || now >= foreign->second + m_lease + kOrderTransitTime);
+    setTarget(model, version, now - m_bound);
+    if (auto& history = m_targetHistory[model]; !history.empty() && history.back().version == version)
+        history.back().isAgeKnown = false;
 }
 
-std::vector<RecentOrder> WeightsRollout::recentOrders(MonotonicTime now) const
+void WeightsRollout::onTargetAge(const TargetAge& target, MonotonicTime now)
 {
-    std::vector<RecentOrder> recent;
-    for (const auto& [endpoint, sentAt] : m_sentOrders) {
-        if (now < sentAt + m_lease + kOrderTransitTime)
-            recent.push_back({ endpoint, std::chrono::floor<std::chrono::milliseconds>(now - sentAt) });
+    const auto history = m_targetHistory.find(target.model);
+    if (history == m_targetHistory.end())
+        return;
+    for (auto& entry : history->second) {
+        if (entry.version == target.version && !entry.isAgeKnown) {
+            entry.at = now - target.age;
+            entry.isAgeKnown = true;
+        }
     }
-    return recent;
 }
 
-void WeightsRollout::setTarget(const ModelId& model, WeightsVersion version, MonotonicTime now)
+std::vector<TargetAge> WeightsRollout::targetAges(MonotonicTime now) const
 {
-    auto& target = m_targets[model];
-    if (version <= target)
-        return;
-    target = version;
-    m_targetHistory[model].push_back({ version, now });
+    std::vector<TargetAge> ages;
+    for (const auto& [model, history] : m_targetHistory) {
+        const auto& newest = history.back();
+        // An older target is beyond its bound on every daemon.
+        if (newest.isAgeKnown && now < newest.at + m_bound)
+            ages.push_back({ model, newest.version, std::chrono::ceil<std::chrono::milliseconds>(now - newest.at) });
+    }
+    return ages;
 }
 
 WeightsVersion WeightsRollout::oldestAllowed(const ModelId& model, MonotonicTime now) const
@@ -99,7 +96,7 @@
 std::vector<WeightsOrder> WeightsRollout::takeDue(const EndpointRegistry& registry, MonotonicTime now)
 {
     std::vector<WeightsOrder> due;
-    if (!isConfirmed(now))
+    if (!isConfirmed(now) || !m_journal.isOwned())
         return due;
     for (const auto& [model, target] : m_targets) {
         std::size_t engines = 0;
@@ -118,7 +115,7 @@
             if (m_inProgress.size() >= maxConcurrentLoads(engines))
                 break;
             const auto retry = m_retries.find(entry->id);
-            if (!mayOrder(entry->id, now) || m_inProgress.contains(entry->id) || (retry != m_retries.end() && now < retry->second.at))
+            if (m_journal.isBlocked(entry->id, now) || m_inProgress.contains(entry->id) || (retry != m_retries.end() && now < retry->second.at))
                 continue;
             const WeightsOrder order { entry->id, model, target, *m_token };
             m_inProgress.emplace(entry->id, order);
@@ -131,6 +128,7 @@
 void WeightsRollout::finishOrder(const EndpointId& endpoint, bool isLoaded, MonotonicTime now)
 {
     m_inProgress.erase(endpoint);
+    m_journal.cancel(endpoint);
     if (isLoaded) {
         m_retries.erase(endpoint);
         return;
--- a/src/hornbeamgate/gateway/weights_rollout.hpp
+++ b/src/hornbeamgate/gateway/weights_rollout.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
+#include "hornbeamgate/gateway/order_journal.hpp"
 
 #include <map>
 #include <optional>
@@ -18,60 +19,57 @@
     bool operator==(const WeightsOrder&) const = default;
 };
 
-/// Order that was sent recently.
-struct RecentOrder {
-    EndpointId endpoint;
+/// How long ago a weights version became the target.
+struct TargetAge {
+    ModelId model;
+    WeightsVersion version;
     std::chrono::milliseconds age {};
 };
 
 /// Decides which engines load newer weights. Only one daemon, the leader, issues orders at a time.
 ///
 /// The store's group membership selects the leader and numbers its generations, which serve as fencing tokens of the
-/// orders. A new leader waits until the lease of the previous one has expired, and a leader whose membership is not
-/// confirmed in time stops by itself. Two daemons therefore never issue orders within one lease.
+/// orders. A leader whose membership is not confirmed in time stops by itself, and the order journal names the engines for
+/// which a new leader must wait. Two daemons therefore never send orders to one engine within a lease.
 ///
-/// Designed for new weights every few seconds under continuous traffic, so that only some engines load concurrently.
+/// Designed for new weights every few seconds under continuous traffic, so that only some engines load concurrently, and
+/// for leaders that are frozen or die while engines load.
 class WeightsRollout {
 public:
     /// No request should start on older weights later than `bound` after newer weights were set as the target.
-    WeightsRollout(Duration lease, Duration bound)
-        : m_lease(lease)
-        , m_bound(bound)
+    WeightsRollout(HostId self, Duration lease, Duration bound)
+        : m_bound(bound)
+        , m_journal(std::move(self), lease)
     {
     }
 
-    /// Confirms this daemon as leader until `end`, according to the membership. If `token` is unchanged since its last
-    /// leadership, no other daemon was leader in between and there is no lease to wait for.
+    /// Confirms this daemon as leader until `end`, according to the membership.
     void confirm(FencingToken token, MonotonicTime end, MonotonicTime now);
-    /// Gives up leadership, so that another daemon may take over immediately.
-    void resign();
-    /// Ends leadership because the membership selected another daemon. This is not reported as a resignation: the daemons
-    /// that receive it would join the group, and each join changes the leader again.
-    void loseLeadership() { m_token.reset(); }
-    /// Resigns if the membership was not confirmed in time.
-    void resignIfExpired(MonotonicTime now);
-    /// Returns how often this daemon gave up leadership.
-    std::uint64_t resignations() const { return m_resignations; }
-
-    /// Handles a resignation of the leader. Only the engines in `orders`, its last orders, must wait for its lease to end.
-    void leaderResigned(const std::vector<RecentOrder>& orders, MonotonicTime now);
-    /// Discards an earlier resignation, because another daemon has become leader since.
-    void otherLeaderSeen() { m_leaderResignedAt.reset(); }
+    /// Ends leadership. Another daemon may have become leader already.
+    void loseLeadership();
+    /// Ends leadership if the membership was not confirmed in time, or if another leader has taken the journal over.
+    void update(MonotonicTime now);
 
     void setTarget(const ModelId& model, WeightsVersion version, MonotonicTime now);
+    /// Sets a target that became known some unknown time after it was set. Its bound counts as expired until a daemon that
+    /// saw it being set reports its age.
+    void setTargetOfUnknownAge(const ModelId& model, WeightsVersion version, MonotonicTime now);
+    void onTargetAge(const TargetAge& target, MonotonicTime now);
+    /// Returns the newest targets whose age is known.
+    std::vector<TargetAge> targetAges(MonotonicTime now) const;
     /// Returns the newest version that has been a target for so long that requests on older weights would exceed the bound.
     WeightsVersion oldestAllowed(const ModelId& model, MonotonicTime now) const;
     const std::map<ModelId, WeightsVersion>& targets() const { return m_targets; }
 
-    /// Returns the orders to send now. Each remains in progress until `finishOrder` is called.
+    /// Returns the orders to prepare now. Each remains in progress until `finishOrder` is called.
     std::vector<WeightsOrder> takeDue(const EndpointRegistry& registry, MonotonicTime now);
-    /// Returns true while this daemon may send orders to `endpoint`.
-    bool mayOrder(const EndpointId& endpoint, MonotonicTime now) const;
-    void orderSent(const EndpointId& endpoint, MonotonicTime now) { m_sentOrders[endpoint] = now; }
-    /// Returns the orders that this daemon sent within the last lease.
-    std::vector<RecentOrder> recentOrders(MonotonicTime now) const;
+    /// Returns true while the order for `endpoint` may be sent: its engine was recorded in the journal recently.
+    bool mayOrder(const EndpointId& endpoint, MonotonicTime now) const { return isConfirmed(now) && m_journal.isRecorded(endpoint, now); }
     /// Returns true while the membership is confirmed, even if orders are not allowed yet.
     bool isConfirmed(MonotonicTime now) const { return m_token && now < m_confirmedUntil; }
+    /// Returns the token of the current leadership, if this daemon is confirmed as leader.
+    std::optional<FencingToken> leadership(MonotonicTime now) const { return isConfirmed(now) ? m_token : std::nullopt; }
+    OrderJournal& journal() { return m_journal; }
 
     /// Ends an order. An engine that still lacks the weights becomes due again after a delay that grows with each failure.
     void finishOrder(const EndpointId& endpoint, bool isLoaded, MonotonicTime now);
@@ -83,24 +81,18 @@
     struct TargetChange {
         WeightsVersion version;
         MonotonicTime at;
+        bool isAgeKnown = true;
     };
     struct Retry {
         MonotonicTime at;
         int failures = 0;
     };
 
-    Duration m_lease;
     Duration m_bound;
+    OrderJournal m_journal;
     std::map<ModelId, std::vector<TargetChange>> m_targetHistory; ///< by version
     std::map<ModelId, WeightsVersion> m_targets;
     std::optional<FencingToken> m_token;
-    std::optional<FencingToken> m_lastToken; ///< kept after leadership is lost
-    MonotonicTime m_ordersAllowedAt {};
-    bool m_isHandover = false; ///< the previous leader resigned and its last orders are known
-    std::optional<MonotonicTime> m_leaderResignedAt;
-    std::map<EndpointId, MonotonicTime> m_previousLeaderOrders;
-    std::map<EndpointId, MonotonicTime> m_sentOrders;
-    std::uint64_t m_resignations = 0;
     MonotonicTime m_confirmedUntil {};
     std::map<EndpointId, WeightsOrder> m_inProgress;
     std::map<EndpointId, Retry> m_retries;
--- a/src/hornbeamgate/observability/log.hpp
+++ b/src/hornbeamgate/observability/log.hpp
@@ -43,6 +43,7 @@
     RateChanged,
     WeightsNamed,
     WeightsOrdered,
+    OrderJournalFailed,
     DutyChanged,
     LinesDropped,
     EventCount,
--- a/src/hornbeamgate/runtime/gateway/directory.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory.hpp
@@ -4,6 +4,7 @@
 #include "hornbeamgate/gateway/directory_replica.hpp"
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
 #include "hornbeamgate/gateway/fleet_config.hpp"
+#include "hornbeamgate/gateway/rollout_election.hpp"
 #include "hornbeamgate/gateway/weights_rollout.hpp"
 #include "hornbeamgate/runtime/net/http_message.hpp"
 
@@ -46,12 +47,6 @@
     LogOffset next; ///< offset at which to continue watching
 };
 
-/// Membership in the rollout group, from which the store selects the rollout leader.
-struct RolloutMembership {
-    FencingToken generation;
-    bool isLeader = false;
-};
-
 /// Client of the store that holds state which must outlive the daemons. Each call invokes its callback once,
 /// after the call has returned, unless the client is destroyed first.
 class Directory {
@@ -70,6 +65,11 @@
     virtual void renewRolloutMembership(const HostId& member, std::chrono::milliseconds lifetime, Callback<RolloutMembership> callback) = 0;
     /// Leaves the rollout group; the leader is selected among the remaining members immediately.
     virtual void leaveRolloutGroup(const HostId& member, Callback<bool> callback) = 0;
+    /// Reads the newest order record of the rollout leaders.
+    virtual void readOrderRecord(Callback<OrderRecordPosition> callback) = 0;
+    /// Appends an order record if the records end at `at`, and returns their new end. After an error the record may have
+    /// been appended, or may be appended later.
+    virtual void appendOrderRecord(const OrderRecord& record, LogOffset at, Callback<LogOffset> callback) = 0;
     /// Decodes the value of a record. The value must be present.
     virtual Result<DirectoryItem, RecordError> decode(DirectoryTopic topic, const DirectoryRecord& record) const = 0;
 };
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -43,16 +43,10 @@
     /// A member of the rollout group that does not renew within this time is removed. After a leader dies, its successor
     /// waits for this time and for the lease; both together stay well below the bound for rolling out weights.
     constexpr milliseconds kMembershipTtl { 2000 };
-    /// Some calls to the store get no response; the interval allows three consecutive failures within the membership TTL.
-    constexpr milliseconds kMembershipRenewalInterval { 400 };
     /// Subtracted from the time until which leadership is confirmed, to cover orders that are still in flight.
     constexpr milliseconds kLeadershipExpiryMargin { 500 };
-    /// Time without a report from the leader after which this daemon tries to become leader. The leader reports several
-    /// times a second.
-    constexpr milliseconds kLeaderTimeout { 1500 };
-    /// Delay between the takeover attempts of two daemons; a new leader's report arrives within it.
-    constexpr milliseconds kJoinStagger { 400 };
     constexpr milliseconds kRegistrationRetryDelay { 500 };
+    constexpr milliseconds kResumptionRetryDelay { 300 };
     constexpr milliseconds kExpiryInterval { 250 };
 
     const TopicSchedule& scheduleOf(DirectoryTopic topic)
@@ -80,6 +74,7 @@
     , m_self(std::move(self))
     , m_registrationTimer([this] { registerDaemon(); })
     , m_membershipTimer([this] { updateMembership(); })
+    , m_resumptionTimer([this] { resumeLeadership(); })
     , m_expiryTimer([this] { expireEndpoints(); })
 {
     for (std::size_t i = 0; i < kDirectoryTopics; ++i)
@@ -92,6 +87,7 @@
         poll(static_cast<DirectoryTopic>(i));
     registerDaemon();
     updateMembership();
+    resumeLeadership();
     m_expiryTimer.set(MonotonicClock::now() + kExpiryInterval);
 }
 
@@ -215,11 +211,12 @@
 void DirectoryTask::put(const WeightsTarget& target)
 {
     logEvent(LogEvent::WeightsNamed, { { "model", target.model.value() }, { "version", target.version.value() } });
-    // A starting daemon does not know when the weights it finds in the listing were requested, and treats their rollout
-    // bound as expired.
+    // A starting daemon does not know when the weights it finds in the listing were requested.
     const auto now = MonotonicClock::now();
-    const bool isLiveUpdate = watcher(DirectoryTopic::Operators).hasListing;
-    m_state.weightsRollout.setTarget(target.model, target.version, isLiveUpdate ? now : now - m_state.settings.weightsBound);
+    if (watcher(DirectoryTopic::Operators).hasListing)
+        m_state.weightsRollout.setTarget(target.model, target.version, now);
+    else
+        m_state.weightsRollout.setTargetOfUnknownAge(target.model, target.version, now);
 }
 
 void DirectoryTask::put(EndpointEntry entry)
@@ -258,45 +255,54 @@
 
 void DirectoryTask::updateMembership()
 {
-    const auto requestedAt = MonotonicClock::now();
-    // A leader remains leader while it drains, but a draining daemon does not become leader.
-    if (m_hasResigned)
-        return;
-    if (m_state.isDraining && !m_isRolloutLeader) {
-        // A member that merely stops renewing would keep the others from becoming leader until its membership expires.
-        leaveRolloutGroup([] {});
-        return;
-    }
-    if (m_isRolloutLeader && !m_state.weightsRollout.isConfirmed(requestedAt)) {
-        // Another daemon may have become leader since the confirmation expired; its report will arrive if so.
-        m_isRolloutLeader = false;
-        m_leaderLastSeen = requestedAt;
-    }
-    // Every join or leave may change the leader, so only one daemon stays a member. Daemons that no longer hear from the
-    // leader try to take over one after the other.
-    const auto rank = m_state.peers.heardStartedAfter(m_self.incarnation, requestedAt);
-    const auto joinAt = m_leaderLastSeen + kLeaderTimeout + kJoinStagger * static_cast<std::int64_t>(rank);
-    if (!m_isRolloutLeader && requestedAt < joinAt) {
-        m_membershipTimer.set(std::min(joinAt, requestedAt + kMembershipRenewalInterval));
+    const auto now = MonotonicClock::now();
+    const RolloutElection::Situation situation { m_state.weightsRollout.isConfirmed(now), m_state.isDraining, m_state.peers.heardStartedAfter(m_self.incarnation, now) };
+    const auto decision = m_election.update(situation, now);
+    if (decision.nextUpdate)
+        m_membershipTimer.set(*decision.nextUpdate);
+    else
+        m_membershipTimer.clear();
+    if (decision.action == RolloutElection::Action::Renew)
+        renewMembership(now);
+    if (decision.action == RolloutElection::Action::Leave)
         leaveRolloutGroup([] {});
-        return;
-    }
-    m_membershipTimer.set(requestedAt + kMembershipRenewalInterval);
-    m_isGroupMember = true;
+}
+
+void DirectoryTask::resumeLeadership()
+{
+    m_directory.readOrderRecord([this](const Result<OrderRecordPosition, DirectoryError>& position) {
+        if (!position) {
+            logEvent(LogEvent::OrderJournalFailed, { { "call", "read at start" }, { "reason", position.error().detail } });
+            m_resumptionTimer.set(MonotonicClock::now() + kResumptionRetryDelay);
+            return;
+        }
+        if (!position->record)
+            return;
+        m_state.weightsRollout.journal().onRecordFound(*position->record, m_startedAt);
+        if (position->record->leader != m_self.host)
+            return;
+        m_election.onOwnRecordFound(MonotonicClock::now());
+        updateMembership();
+    });
+}
+
+void DirectoryTask::renewMembership(MonotonicTime now)
+{
     const auto suspended = suspendedTime();
     const auto lifetime = std::max(kMembershipTtl, std::chrono::ceil<milliseconds>(m_state.settings.minMembershipLifetime));
-    m_directory.renewRolloutMembership(m_self.host, lifetime, [this, requestedAt, suspended, lifetime](const Result<RolloutMembership, DirectoryError>& membership) {
-        // The response may arrive after this daemon has left the group.
-        if (membership && m_isGroupMember)
-            onMembershipRenewed(*membership, requestedAt + lifetime - kLeadershipExpiryMargin - (suspendedTime() - suspended), MonotonicClock::now());
+    m_directory.renewRolloutMembership(m_self.host, lifetime, [this, now, suspended, lifetime](const Result<RolloutMembership, DirectoryError>& membership) {
+        if (membership)
+            onMembershipRenewed(*membership, now + lifetime - kLeadershipExpiryMargin - (suspendedTime() - suspended), MonotonicClock::now());
     });
 }
 
 void DirectoryTask::onMembershipRenewed(const RolloutMembership& membership, MonotonicTime end, MonotonicTime now)
 {
-    if (membership.isLeader != m_isRolloutLeader)
+    const bool wasLeader = m_election.isLeader();
+    if (!m_election.onRenewed(membership))
+        return;
+    if (membership.isLeader != wasLeader)
         logEvent(LogEvent::DutyChanged, { { "holder", membership.isLeader ? 1 : 0 }, { "generation", membership.generation.value() } });
-    m_isRolloutLeader = membership.isLeader;
     if (membership.isLeader)
         m_state.weightsRollout.confirm(membership.generation, end, now);
     else
@@ -310,36 +316,32 @@
 
 void DirectoryTask::resignLeadership(std::function<void()> done)
 {
-    m_hasResigned = true;
-    m_isRolloutLeader = false;
     m_membershipTimer.clear();
-    m_state.weightsRollout.resign();
-    leaveRolloutGroup(std::move(done));
+    m_state.weightsRollout.loseLeadership();
+    if (m_election.resign() == RolloutElection::Action::Leave)
+        leaveRolloutGroup(std::move(done));
+    else
+        done();
 }
 
-void DirectoryTask::onOtherLeaderSeen(MonotonicTime now)
+void DirectoryTask::onPeerReport(const PeerReport& report, MonotonicTime now)
 {
-    m_leaderLastSeen = now;
-    m_state.weightsRollout.otherLeaderSeen();
+    for (const auto& target : report.targetAges)
+        m_state.weightsRollout.onTargetAge(target, now);
+    m_state.weightsRollout.journal().onPeerOrders(report.orderAges, now);
+    if (m_election.onPeerReport(report.incarnation, report.leadership, now))
+        updateMembership();
 }
 
-void DirectoryTask::onPeerResignations(const PeerReport& report, MonotonicTime now)
+LeadershipReport DirectoryTask::leadershipReport(MonotonicTime now) const
 {
-    const auto [known, isFirst] = m_resignations.try_emplace(report.incarnation, report.resignations);
-    if (isFirst || report.resignations <= known->second)
-        return;
-    known->second = report.resignations;
-    m_state.weightsRollout.leaderResigned(report.recentOrders, now);
-    m_leaderLastSeen = now - kLeaderTimeout;
-    updateMembership();
+    auto report = m_election.report();
+    report.isLeader = report.isLeader && m_state.weightsRollout.isConfirmed(now);
+    return report;
 }
 
 void DirectoryTask::leaveRolloutGroup(std::function<void()> done)
 {
-    if (!std::exchange(m_isGroupMember, false)) {
-        done();
-        return;
-    }
     // If leaving fails, the membership expires on its own.
     m_directory.leaveRolloutGroup(m_self.host, [done = std::move(done)](const Result<bool, DirectoryError>&) { done(); });
 }
--- a/src/hornbeamgate/runtime/gateway/directory_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hornbeamgate/gateway/peer_report.hpp"
+#include "hornbeamgate/gateway/rollout_election.hpp"
 #include "hornbeamgate/runtime/gateway/directory.hpp"
 #include "hornbeamgate/runtime/gateway/gateway_state.hpp"
 
@@ -24,10 +25,9 @@
     /// Removes this daemon's registration. Calls `done` when the store has responded or the call has failed.
     void withdraw(std::function<void()> done);
 
-    /// Called when another daemon reports that it is the rollout leader.
-    void onOtherLeaderSeen(MonotonicTime now);
-    /// Called with the report of another daemon, which counts how often that daemon gave up leadership.
-    void onPeerResignations(const PeerReport& report, MonotonicTime now);
+    /// Called with each report of another daemon.
+    void onPeerReport(const PeerReport& report, MonotonicTime now);
+    LeadershipReport leadershipReport(MonotonicTime now) const;
 
     /// Applies records fetched from another daemon.
     void applyPeerRecords(DirectoryTopic topic, const std::vector<DirectoryRecord>& records);
@@ -60,9 +60,12 @@
     void put(EndpointEntry entry);
     void put(const DaemonEntry& entry);
     void registerDaemon();
+    /// Tries to become leader immediately if this host was the leader before the daemon started.
+    void resumeLeadership();
     void updateMembership();
     void onMembershipRenewed(const RolloutMembership& membership, MonotonicTime end, MonotonicTime now);
-    /// Calls `done` when the store has responded, or immediately if this daemon is not a member.
+    void renewMembership(MonotonicTime now);
+    /// Calls `done` when the store has responded.
     void leaveRolloutGroup(std::function<void()> done);
     void expireEndpoints();
     /// Discards the load and cache state of an endpoint that is gone or was restarted.
@@ -74,16 +77,12 @@
     DaemonEntry m_self;
     DirectoryReplica m_replica;
     std::array<std::unique_ptr<TopicWatcher>, kDirectoryTopics> m_watchers;
-    std::map<std::string, EndpointId> m_endpointsByKey;
-    std::map<std::string, HostId> m_daemonsByKey;
     Timer m_registrationTimer;
     Timer m_membershipTimer;
+    Timer m_resumptionTimer;
     Timer m_expiryTimer;
-    bool m_isRolloutLeader = false;
-    bool m_isGroupMember = false;
-    bool m_hasResigned = false;
-    std::map<Incarnation, std::uint64_t> m_resignations; ///< last reported count, by daemon incarnation
-    MonotonicTime m_leaderLastSeen = MonotonicClock::now(); ///< initially the start of this daemon
+    MonotonicTime m_startedAt = MonotonicClock::now();
+    RolloutElection m_election { m_startedAt };
 };
 
 } // namespace hornbeamgate::gateway
--- a/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
@@ -73,7 +73,7 @@
     if (!peers)
         return failure(peers.error());
     m_peers = std::move(*peers);
-    m_weights = std::make_unique<WeightsTask>(m_state, *m_adapters.engines, *m_peers, m_self.host);
+    m_weights = std::make_unique<WeightsTask>(m_state, *m_adapters.directory, *m_adapters.engines, *m_peers, m_self.host);
     return {};
 }
 
--- a/src/hornbeamgate/runtime/gateway/gateway_state.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_state.hpp
@@ -24,7 +24,7 @@
         : settings(configured)
         , wire(format)
         , placer(DaemonLocation { configured.common.dataCenter, configured.common.region, configured.regions })
-        , weightsRollout(configured.leaderLease, configured.weightsBound)
+        , weightsRollout(configured.common.host, configured.leaderLease, configured.weightsBound)
     {
     }
 
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -80,19 +80,19 @@
     return std::clamp(kReportIntervalPerPeer * peers, kMinReportInterval, kMaxReportInterval);
 }
 
-void PeerTask::sendReport()
+PeerReport PeerTask::makeReport(MonotonicTime now)
 {
-    const auto now = MonotonicClock::now();
     PeerReport report;
     report.host = m_self.host;
     report.incarnation = m_self.incarnation;
     report.address = m_self.peers;
     for (std::size_t i = 0; i < kDirectoryTopics; ++i)
         report.directoryEnds[i] = m_directory.replica().end(static_cast<DirectoryTopic>(i));
-    report.isRolloutLeader = m_state.weightsRollout.isConfirmed(now);
+    report.leadership = m_directory.leadershipReport(now);
+    report.orderAges = m_state.weightsRollout.journal().recentOrders(now);
+    report.isAskingForOrderAges = m_state.weightsRollout.journal().isAskingForAges(now);
+    report.targetAges = m_state.weightsRollout.targetAges(now);
     report.isLeaving = m_state.isDraining;
-    report.resignations = m_state.weightsRollout.resignations();
-    report.recentOrders = m_state.weightsRollout.recentOrders(now);
     report.drawn = m_state.rates.drawn();
     std::erase_if(m_loading, [now](const auto& entry) { return entry.second <= now; });
     for (const auto& [endpoint, end] : m_loading)
@@ -102,7 +102,12 @@
         report.loaded.push_back(weights);
     report.blockUses = m_state.blocks.recentLocalUses(now - kBlockUseReports * reportInterval(), now);
     report.pendingPrefillTokens = m_state.loads.localPendingPrefillTokens();
-    const auto bytes = encodePeerReport(report);
+    return report;
+}
+
+void PeerTask::sendReport()
+{
+    const auto bytes = encodePeerReport(makeReport(MonotonicClock::now()));
     for (const auto& address : m_state.peers.addresses())
         m_socket->send(address, asText(bytes));
 }
@@ -143,9 +148,9 @@
     const auto now = MonotonicClock::now();
     m_state.peers.add(report->host, report->address, report->incarnation, now);
     m_state.peers.heard(report->host, report->isLeaving, now);
-    if (report->isRolloutLeader)
-        m_directory.onOtherLeaderSeen(now);
-    m_directory.onPeerResignations(*report, now);
+    m_directory.onPeerReport(*report, now);
+    if (report->isAskingForOrderAges)
+        sendOrderAges(report->address, now);
     m_state.rates.peerReported(report->host, report->incarnation, report->drawn, now);
     for (const auto& engine : report->loading)
         m_state.loads.pauseUntil(engine.endpoint, now + engine.remaining);
@@ -156,6 +161,14 @@
     fetchNewerRecords(*report);
 }
 
+void PeerTask::sendOrderAges(const SocketAddress& leader, MonotonicTime now)
+{
+    auto report = makeReport(now);
+    report.orderAges = m_state.weightsRollout.journal().heardOrders(now);
+    if (!report.orderAges.empty())
+        m_socket->send(leader, asText(encodePeerReport(report)));
+}
+
 void PeerTask::fetchNewerRecords(const PeerReport& report)
 {
     const auto now = MonotonicClock::now();
--- a/src/hornbeamgate/runtime/gateway/peer_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.hpp
@@ -23,6 +23,9 @@
     void announceLoaded(const LoadedWeights& weights);
 
 private:
+    PeerReport makeReport(MonotonicTime now);
+    /// Tells a new rollout leader how old the orders are that this daemon heard of.
+    void sendOrderAges(const SocketAddress& leader, MonotonicTime now);
     PeerTask(GatewayState& state, DirectoryTask& directory, DaemonEntry self);
 
     void report();
--- a/src/hornbeamgate/runtime/gateway/weights_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/weights_task.cpp
@@ -16,6 +16,8 @@
     /// Time after which an unfinished load is restarted from the beginning. It allows for the running requests that an
     /// engine finishes first.
     constexpr milliseconds kLoadTimeout { 6000 };
+    /// Time for the store to record an engine before its order; a slow store takes 50 times its usual few milliseconds.
+    constexpr milliseconds kRecordTimeout { 2000 };
     /// Requests avoid a loading engine for this long, unless it reports earlier that the load is complete.
     constexpr milliseconds kLoadingPause { 2500 };
     /// Tolerance for reading the boot-time and the monotonic clock at slightly different times.
@@ -23,8 +25,9 @@
 
 } // namespace
 
-WeightsTask::WeightsTask(GatewayState& state, const EngineControl& control, PeerTask& peers, HostId self)
+WeightsTask::WeightsTask(GatewayState& state, Directory& directory, const EngineControl& control, PeerTask& peers, HostId self)
     : m_state(state)
+    , m_directory(directory)
     , m_control(control)
     , m_peers(peers)
     , m_self(std::move(self))
@@ -42,7 +45,7 @@
 {
     const auto suspended = suspendedTime();
     if (suspended > m_suspendedTime + kClockReadingError)
-        m_state.weightsRollout.resign();
+        m_state.weightsRollout.loseLeadership();
     m_suspendedTime = suspended;
 }
 
@@ -50,17 +53,70 @@
 {
     checkSuspension();
     const auto now = MonotonicClock::now();
-    m_state.weightsRollout.resignIfExpired(now);
+    m_state.weightsRollout.update(now);
+    if (!m_state.weightsRollout.isConfirmed(now))
+        abandonUnsentOrders();
     for (const auto& order : m_state.weightsRollout.takeDue(m_state.registry, now))
         startOperation(order);
+    sendRecordedOrders(now);
+    updateJournal(now);
     m_timer.set(now + kTickInterval);
 }
 
+void WeightsTask::updateJournal(MonotonicTime now)
+{
+    auto& journal = m_state.weightsRollout.journal();
+    const auto call = journal.takeCall(now);
+    if (!call)
+        return;
+    if (const auto* append = std::get_if<OrderJournal::Append>(&*call)) {
+        m_directory.appendOrderRecord(append->record, append->at, [this, &journal](const Result<LogOffset, DirectoryError>& end) {
+            const auto answeredAt = MonotonicClock::now();
+            if (!end)
+                logEvent(LogEvent::OrderJournalFailed, { { "call", "append" }, { "reason", end.error().detail } });
+            journal.onAppended(end ? std::optional(*end) : std::nullopt, answeredAt);
+            sendRecordedOrders(answeredAt);
+        });
+        return;
+    }
+    m_directory.readOrderRecord([&journal](const Result<OrderRecordPosition, DirectoryError>& position) {
+        if (!position)
+            logEvent(LogEvent::OrderJournalFailed, { { "call", "read" }, { "reason", position.error().detail } });
+        journal.onRead(position ? std::optional(*position) : std::nullopt, MonotonicClock::now());
+    });
+}
+
+void WeightsTask::abandonUnsentOrders()
+{
+    std::vector<EndpointId> unsent;
+    for (const auto& [endpoint, operation] : m_operations) {
+        if (operation.acceptedOrderCount)
+            unsent.push_back(endpoint);
+    }
+    for (const auto& endpoint : unsent)
+        finishOrder(endpoint, "duty lost");
+}
+
+void WeightsTask::sendRecordedOrders(MonotonicTime now)
+{
+    std::vector<EndpointId> recorded;
+    for (const auto& [endpoint, operation] : m_operations) {
+        if (!operation.acceptedOrderCount)
+            continue;
+        if (m_state.weightsRollout.mayOrder(endpoint, now))
+            recorded.push_back(endpoint);
+        else // A record that took too long, or that an earlier leadership requested, has to be requested again.
+            m_state.weightsRollout.journal().request(endpoint);
+    }
+    for (const auto& endpoint : recorded)
+        sendOrder(endpoint);
+}
+
 void WeightsTask::startOperation(const WeightsOrder& order)
 {
     const auto endpoint = order.endpoint;
     m_operations.erase(endpoint);
-    m_operations.emplace(endpoint, LoadOperation { order, ++m_lastOperationNumber, false, MonotonicClock::now() + kLoadTimeout, Timer([this, endpoint] { queryState(endpoint); }) });
+    m_operations.emplace(endpoint, LoadOperation { order, ++m_lastOperationNumber, false, std::nullopt, MonotonicClock::now() + kLoadTimeout, Timer([this, endpoint] { queryState(endpoint); }) });
     m_peers.announceLoading(endpoint, kLoadingPause);
     queryState(endpoint);
 }
@@ -69,11 +125,18 @@
 {
     const auto* engine = m_state.registry.find(endpoint);
     const auto now = MonotonicClock::now();
-    auto& operation = m_operations.at(endpoint);
+    const auto found = m_operations.find(endpoint);
+    if (found == m_operations.end())
+        return;
+    auto& operation = found->second;
     if (!engine || now >= operation.deadline) {
         finishOrder(endpoint, engine ? "timed out" : "engine gone");
         return;
     }
+    if (operation.acceptedOrderCount) {
+        finishOrder(endpoint, "not recorded");
+        return;
+    }
     m_calls.start(engine->address, requestText(m_control.encodeReportQuery(*engine), {}), now + kCallTimeout,
         [this, endpoint, number = operation.number](const Result<HttpResponse, NetError>& answer) { onEngineState(endpoint, number, answer); });
 }
@@ -103,21 +166,26 @@
         operation->timer.set(MonotonicClock::now() + kStateQueryInterval);
         return;
     }
-    sendOrder(endpoint, report->acceptedOrderCount);
+    operation->acceptedOrderCount = report->acceptedOrderCount;
+    // Without a record in time, the operation is abandoned and becomes due again.
+    operation->timer.set(MonotonicClock::now() + kRecordTimeout);
 }
 
-void WeightsTask::sendOrder(const EndpointId& endpoint, std::uint64_t acceptedOrderCount)
+void WeightsTask::sendOrder(const EndpointId& endpoint)
 {
     const auto now = MonotonicClock::now();
     auto& operation = m_operations.at(endpoint);
     const auto* engine = m_state.registry.find(endpoint);
     checkSuspension();
-    if (!engine || !m_state.weightsRollout.mayOrder(endpoint, now)) {
+    const auto leadership = m_state.weightsRollout.leadership(now);
+    if (!engine || !leadership || !m_state.weightsRollout.mayOrder(endpoint, now)) {
         finishOrder(endpoint, "duty lost");
         return;
     }
+    operation.order.token = *leadership;
     operation.isOrderSent = true;
-    m_state.weightsRollout.orderSent(endpoint, now);
+    operation.timer.clear();
+    const auto acceptedOrderCount = *std::exchange(operation.acceptedOrderCount, std::nullopt);
     const auto [head, body] = m_control.encodeOrder(*engine, operation.order, m_self, acceptedOrderCount);
     m_calls.start(engine->address, requestText(head, body), now + kCallTimeout,
         [this, endpoint, number = operation.number](const Result<HttpResponse, NetError>& answer) { onOrderResponse(endpoint, number, answer); });
@@ -146,6 +214,8 @@
     const auto found = m_operations.find(endpoint);
     logEvent(LogEvent::WeightsOrdered, { { "endpoint", endpoint.value() }, { "model", found->second.order.model.value() }, { "version", found->second.order.version.value() }, { "token", found->second.order.token.value() }, { "ordered", found->second.isOrderSent ? 1 : 0 }, { "outcome", outcome } });
     m_state.weightsRollout.finishOrder(endpoint, isLoaded, MonotonicClock::now());
+    // The timer may have expired together with the event that ends the operation; it must not fire afterwards.
+    found->second.timer.clear();
     // This may run in the operation's own timer callback, so the operation is destroyed after the callback returns.
     post([operation = std::make_shared<LoadOperation>(std::move(found->second))] {});
     m_operations.erase(found);
--- a/src/hornbeamgate/runtime/gateway/weights_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/weights_task.hpp
@@ -8,32 +8,40 @@
 /// Executes the weights orders that this daemon issues as rollout leader.
 class WeightsTask {
 public:
-    WeightsTask(GatewayState& state, const EngineControl& control, PeerTask& peers, HostId self);
+    WeightsTask(GatewayState& state, Directory& directory, const EngineControl& control, PeerTask& peers, HostId self);
 
     void start();
 
 private:
-    /// Execution of one order: queries the engine's state, sends the order, and polls until the weights are loaded.
+    /// Execution of one order: queries the engine's state, records the engine in the journal, sends the order, and polls
+    /// until the weights are loaded.
     struct LoadOperation {
         WeightsOrder order;
         std::uint64_t number = 0;
         bool isOrderSent = false;
+        std::optional<std::uint64_t> acceptedOrderCount {}; ///< set while the order waits for the journal
         MonotonicTime deadline {};
         Timer timer;
     };
 
     void tick();
+    void updateJournal(MonotonicTime now);
+    /// Ends the operations that wait for the journal, because this daemon is not the leader any more.
+    void abandonUnsentOrders();
+    /// Sends the orders whose engines are recorded in the journal, and requests records for the others.
+    void sendRecordedOrders(MonotonicTime now);
     /// Resigns leadership if the host was suspended, since the lease kept running during the suspension.
     void checkSuspension();
     void startOperation(const WeightsOrder& order);
     void queryState(const EndpointId& endpoint);
     void onEngineState(const EndpointId& endpoint, std::uint64_t number, const Result<HttpResponse, NetError>& answer);
-    void sendOrder(const EndpointId& endpoint, std::uint64_t acceptedOrderCount);
+    void sendOrder(const EndpointId& endpoint);
     void onOrderResponse(const EndpointId& endpoint, std::uint64_t number, const Result<HttpResponse, NetError>& answer);
     void finishOrder(const EndpointId& endpoint, std::string_view outcome, bool isLoaded = false);
     LoadOperation* find(const EndpointId& endpoint, std::uint64_t number);
 
     GatewayState& m_state;
+    Directory& m_directory;
     const EngineControl& m_control;
     PeerTask& m_peers;
     HostId m_self;
--- a/tests/gateway/placement.test.cpp
+++ b/tests/gateway/placement.test.cpp
@@ -230,6 +230,26 @@
     CHECK(placer.choose(request, { few, loads, kNoBlocks }, at(0ms)).endpoint);
 }
 
+TEST_CASE("while most engines have overdue weights, requests use the others as long as those answer in time [placement]")
+{
+    // The rollout leader was frozen for longer than the bound, and its successor has just begun to load engines.
+    EndpointRegistry registry;
+    for (std::size_t i = 0; i < 9; ++i)
+        registry.put(engine(i, "a", 1));
+    registry.put(engine(9, "c", 2));
+    EndpointLoads loads;
+    auto placer = placerAt("a");
+    auto request = shortPrompt();
+    request.newestWeights = WeightsVersion(2);
+    request.oldestWeights = WeightsVersion(2);
+    CHECK(placer.choose(request, { registry, loads, kNoBlocks }, at(0ms)).endpoint == EndpointId("e109"));
+    for (int i = 0; i < 20; ++i)
+        loads.sent(EndpointId("e109"), static_cast<std::uint64_t>(i), 20'000, at(0ms));
+    const auto placement = placer.choose(request, { registry, loads, kNoBlocks }, at(10ms));
+    REQUIRE(placement.endpoint);
+    CHECK(placement.endpoint != EndpointId("e109"));
+}
+
 TEST_CASE("blocks are fetched only from an engine with the same weights [placement]")
 {
     EndpointRegistry registry;
--- a/tests/platform/directory.test.cpp
+++ b/tests/platform/directory.test.cpp
@@ -115,6 +115,34 @@
     CHECK(store.bodies[1] == keyedRecord("front-1", ""));
 }
 
+TEST_CASE("an order record is appended at its offset and read back [platform]")
+{
+    ScriptedStore store;
+    store.answers = { { 200, {}, R"({"offset":7,"end-offset":8})" }, { 412, {}, R"({"end-offset":9})" }, { 200, {}, R"({"items":[],"has-more":false,"end-offset":0})" },
+        { 200, {}, R"({"items":[{"key":"orders","value":"eyJ0b2tlbiI6NCwibGVhZGVyIjoiZnJvbnQtMSIsIm9yZGVycyI6W3siZW5naW5lIjoiZTEiLCJob3N0IjoiZnJvbnQtMSIsInJlcXVlc3RlZF9hdCI6Nn0seyJlbmdpbmUiOiJlMiIsImhvc3QiOiJmcm9udC0yIiwicmVxdWVzdGVkX2F0IjozfV19","offset":7}],"has-more":false,"end-offset":8})" },
+        { 200, {}, R"({"items":[{"key":"orders","value":"e30=","offset":7}],"has-more":false,"end-offset":8})" } };
+    platform::PlatformDirectory directory(store.acceptor->address());
+    const OrderRecord record { FencingToken(4), HostId("front-1"), { { EndpointId("e1"), { HostId("front-1"), LogOffset(6) } }, { EndpointId("e2"), { HostId("front-2"), LogOffset(3) } } } };
+    const auto append = [&](auto callback) { directory.appendOrderRecord(record, LogOffset(7), callback); };
+    CHECK(result<LogOffset>(append) == LogOffset(8));
+    CHECK_FALSE(result<LogOffset>(append));
+    CHECK(store.requestLines[0] == "POST /hornbeamgate/log-append?topic=keyed.orders&part=0&at=7");
+    CHECK(store.bodies[0] == keyedRecord("orders", R"({"leader":"front-1","orders":[{"engine":"e1","host":"front-1","requested_at":6},{"engine":"e2","host":"front-2","requested_at":3}],"token":4})"));
+    const auto read = [&](auto callback) { directory.readOrderRecord(callback); };
+    const auto none = result<OrderRecordPosition>(read);
+    REQUIRE(none);
+    CHECK_FALSE(none->record);
+    const auto known = result<OrderRecordPosition>(read);
+    REQUIRE(known);
+    CHECK(known->record == record);
+    CHECK(known->end == LogOffset(8));
+    // An unreadable record counts as none, so that the next leader waits for all engines.
+    const auto unreadable = result<OrderRecordPosition>(read);
+    REQUIRE(unreadable);
+    CHECK_FALSE(unreadable->record);
+    CHECK(store.requestLines[2] == "GET /hornbeamgate/log-newest?topic=keyed.orders&part=0");
+}
+
 TEST_CASE("the owner of partition 0 is the rollout leader [platform]")
 {
     ScriptedStore store;
--- a/tests/platform/fake_directory.hpp
+++ b/tests/platform/fake_directory.hpp
@@ -27,6 +27,13 @@
         ++leaveCount;
         departures.push_back(std::move(callback));
     }
+    void readOrderRecord(Callback<OrderRecordPosition> callback) override { orderRecordReads.push_back(std::move(callback)); }
+    void appendOrderRecord(const OrderRecord& record, LogOffset at, Callback<LogOffset> callback) override
+    {
+        appendedOrderRecords.push_back(record);
+        appendedAt.push_back(at);
+        orderRecordAppends.push_back(std::move(callback));
+    }
     Result<DirectoryItem, RecordError> decode(DirectoryTopic topic, const DirectoryRecord& record) const override { return platform::decodeRecord(topic, record); }
 
     static std::size_t index(DirectoryTopic topic) { return static_cast<std::size_t>(topic); }
@@ -46,6 +53,10 @@
     std::vector<Callback<LogOffset>> registrations;
     std::vector<Callback<RolloutMembership>> renewals;
     std::vector<Callback<bool>> departures;
+    std::vector<Callback<OrderRecordPosition>> orderRecordReads;
+    std::vector<Callback<LogOffset>> orderRecordAppends;
+    std::vector<OrderRecord> appendedOrderRecords;
+    std::vector<LogOffset> appendedAt;
     std::chrono::milliseconds membershipLifetime {};
     int leaveCount = 0;
 };
