Give up responses that do not end, wait longer for operators' records, and weigh overdue weights by cost

Three changes, each with its tests.

Bytes that are no answer and do not end: an event without an end grew the relay's buffer and was scanned anew with each read; an unsigned or failed response and the body of a small call grew without a limit until the deadline; a large response was read faster than its caller took it. Each has a limit now, and reading pauses for any slow caller. The tests fail on the code before (502 only at the route's timeout, 64 MB buffered); endless heads were limited already.

An operators' long poll lasts 4 s in place of 1.5 s. Ruled out: a longer wait, since a connection that goes silent has to be noticed before a configuration must be in force. Peers' records are fetched after 0.3 s of lag in place of 2 s without an answer.

While most engines are overdue, an overdue one costs 1.5 s more instead of counting as any other.

--- a/src/hornbeamgate/gateway/directory_replica.cpp
+++ b/src/hornbeamgate/gateway/directory_replica.cpp
@@ -41,4 +41,16 @@
     return records;
 }
 
+bool ReplicaLag::isBehind(LogOffset ownEnd, LogOffset peerEnd, MonotonicTime now)
+{
+    m_newestEnd = std::max(m_newestEnd, peerEnd);
+    if (ownEnd >= m_newestEnd) {
+        m_behindSince.reset();
+        return false;
+    }
+    if (!m_behindSince)
+        m_behindSince = now;
+    return ownEnd < peerEnd && now >= *m_behindSince + kGrace;
+}
+
 } // namespace hornbeamgate::gateway
--- a/src/hornbeamgate/gateway/directory_replica.hpp
+++ b/src/hornbeamgate/gateway/directory_replica.hpp
@@ -4,6 +4,7 @@
 #include "hornbeamgate/base/time.hpp"
 
 #include <array>
+#include <chrono>
 #include <map>
 #include <optional>
 #include <string>
@@ -54,4 +55,21 @@
     std::array<LogOffset, kDirectoryTopics> m_ends {};
 };
 
+/// Tells whether this daemon's records of a topic lag behind those of its peers.
+///
+/// Designed for a store that answers every daemon's long poll at the same time: a peer's report that arrives a little before
+/// this daemon's own answer is no reason to fetch the records from the peer.
+class ReplicaLag {
+public:
+    /// A daemon counts as behind after this time; the store's answer arrives within it.
+    static constexpr std::chrono::milliseconds kGrace { 300 };
+
+    /// Handles a peer's report. Returns true if that peer has newer records and this daemon has been behind for `kGrace`.
+    bool isBehind(LogOffset ownEnd, LogOffset peerEnd, MonotonicTime now);
+
+private:
+    LogOffset m_newestEnd; ///< of all peers
+    std::optional<MonotonicTime> m_behindSince;
+};
+
 } // namespace hornbeamgate::gateway
--- a/src/hornbeamgate/gateway/event_relay.cpp
+++ b/src/hornbeamgate/gateway/event_relay.cpp
@@ -70,6 +70,10 @@
         m_hasForwardedEvents = true;
     }
     m_partial.erase(0, taken);
+    if (m_partial.size() > kMaxEventBytes) {
+        m_partial.clear();
+        return std::nullopt;
+    }
     return forwarded;
 }
 
--- a/src/hornbeamgate/gateway/event_relay.hpp
+++ b/src/hornbeamgate/gateway/event_relay.hpp
@@ -13,13 +13,16 @@
 /// Duplicate events are dropped.
 class EventRelay {
 public:
+    /// Size of the largest event that is forwarded.
+    static constexpr std::size_t kMaxEventBytes = 262144;
+
     /// `lastSeen` is the ID of the last event that the caller received in an earlier request.
     explicit EventRelay(std::optional<std::uint64_t> lastSeen)
         : m_lastId(lastSeen)
     {
     }
 
-    /// Consumes the next bytes and returns the data to forward, or nullopt if an event is missing.
+    /// Consumes the next bytes and returns the data to forward, or nullopt if an event is missing or too large.
     std::optional<std::string> feed(std::string_view bytes);
 
     /// Returns the bytes after the last complete event, for a stream that ended normally.
--- a/src/hornbeamgate/gateway/placement.cpp
+++ b/src/hornbeamgate/gateway/placement.cpp
@@ -23,6 +23,8 @@
     constexpr milliseconds kFailurePenalty { 1500 };
     /// Cost added if the request would run on weights that are not the newest.
     constexpr milliseconds kOldWeightsPenalty { 400 };
+    /// Cost added if the request would run on weights that should not be used any more.
+    constexpr milliseconds kOverdueWeightsPenalty { 1500 };
     /// Cost added for an avoided endpoint, which is chosen only if no other is available.
     constexpr milliseconds kAvoidedPenalty { 5000 };
     /// Service time assumed before the first observation.
@@ -77,21 +79,7 @@
 
 Placement Placer::choose(const PlacementRequest& request, const EndpointView& view, MonotonicTime now) const
 {
-    auto entries = availableEndpoints(request, view.registry);
-    const auto isOverdue = [&request](const auto* entry) { return weightsOf(*entry, request) < request.oldestWeights; };
-    const auto overdue = static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(), isOverdue));
-    if (overdue == 0)
-        return chooseAmong(entries, request, view, now);
-    auto upToDate = entries;
-    std::erase_if(upToDate, isOverdue);
-    const auto placement = chooseAmong(upToDate, request, view, now);
-    // If most endpoints are overdue, for example after a store outage, excluding them would refuse most requests.
-    const bool areMostOverdue = 2 * overdue >= entries.size();
-    return placement.endpoint || !areMostOverdue ? placement : chooseAmong(entries, request, view, now);
-}
-
-Placement Placer::chooseAmong(const std::vector<const EndpointEntry*>& entries, const PlacementRequest& request, const EndpointView& view, MonotonicTime now) const
-{
+    const auto entries = eligible(request, view.registry);
     const auto shared = sharedPrefix(request);
     const auto peers = groupByWeights(entries, request, shared, view, now);
     std::optional<Candidate> best;
@@ -121,13 +109,18 @@
     return placement;
 }
 
-std::vector<const EndpointEntry*> Placer::availableEndpoints(const PlacementRequest& request, const EndpointRegistry& registry)
+std::vector<const EndpointEntry*> Placer::eligible(const PlacementRequest& request, const EndpointRegistry& registry)
 {
     std::vector<const EndpointEntry*> entries;
     for (const auto& [id, entry] : registry.entries()) {
         if (entry.service == request.service && !entry.isLeaving)
             entries.push_back(&entry);
     }
+    const auto isOverdue = [&request](const auto* entry) { return weightsOf(*entry, request) < request.oldestWeights; };
+    const auto overdue = static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(), isOverdue));
+    // If most engines are overdue, for example during a store outage, excluding them would refuse most requests.
+    if (2 * overdue < entries.size())
+        std::erase_if(entries, isOverdue);
     return entries;
 }
 
@@ -168,7 +161,9 @@
         candidate.cost += kAvoidedPenalty;
     if (view.loads.oldestUnanswered(entry.id, now) > kSlowAnswerThreshold)
         candidate.cost += kSlowAnswerThreshold;
-    if (weights < request.newestWeights)
+    if (weights < request.oldestWeights)
+        candidate.cost += kOverdueWeightsPenalty;
+    else if (weights < request.newestWeights)
         candidate.cost += kOldWeightsPenalty;
     return candidate;
 }
--- a/src/hornbeamgate/gateway/placement.hpp
+++ b/src/hornbeamgate/gateway/placement.hpp
@@ -27,7 +27,7 @@
     std::string cacheDomain; ///< requests in different domains never share blocks
     std::optional<ModelId> model;
     WeightsVersion newestWeights; ///< of the model
-    WeightsVersion oldestWeights; ///< oldest version of the model that may be used while endpoints with it have capacity
+    WeightsVersion oldestWeights; ///< oldest version of the model that may be used, unless other endpoints answer much sooner
     std::set<EndpointId> tried; ///< endpoints to which the request was already sent
     Duration timeLeft {};
 };
@@ -117,8 +117,7 @@
         Duration cost {}; ///< total cost by which candidates are compared
     };
 
-    static std::vector<const EndpointEntry*> availableEndpoints(const PlacementRequest& request, const EndpointRegistry& registry);
-    Placement chooseAmong(const std::vector<const EndpointEntry*>& entries, const PlacementRequest& request, const EndpointView& view, MonotonicTime now) const;
+    static std::vector<const EndpointEntry*> eligible(const PlacementRequest& request, const EndpointRegistry& registry);
     static PeersByWeights groupByWeights(const std::vector<const EndpointEntry*>& entries, const PlacementRequest& request, const SharedPrefix& shared, const EndpointView& view, MonotonicTime now);
     Candidate estimate(const EndpointEntry& entry, const PlacementRequest& request, const SharedPrefix& shared, const PeersByWeights& peers, const EndpointView& view, MonotonicTime now) const;
     BlockPlan planBlocks(const EndpointEntry& entry, const SharedPrefix& shared, const Peers& peers, const EndpointView& view, MonotonicTime now) const;
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -20,10 +20,12 @@
         milliseconds staleAfter; ///< without a response for this long, other daemons may have newer records
     };
 
+    /// A connection can go silent without a reset, so a long poll must end well before a configuration has to be in force.
+    /// A daemon learns sooner of a change that its own call does not bring, from the reports of its peers.
     /// Endpoints re-register continually, so a long poll would return for each registration; they are polled at an interval
     /// instead. The other topics change rarely and use long polling.
     constexpr std::array<TopicSchedule, kDirectoryTopics> kSchedules { {
-        { "operators", milliseconds(1500), milliseconds(0), milliseconds(2000) },
+        { "operators", milliseconds(4000), milliseconds(0), milliseconds(300) },
         { "endpoints", milliseconds(0), milliseconds(500), milliseconds(2000) },
         { "daemons", milliseconds(10000), milliseconds(200), milliseconds(12000) },
     } };
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -29,7 +29,8 @@
     constexpr milliseconds kConnectTimeout { 500 };
     /// Failed connection attempts after which the request is refused.
     constexpr int kMaxConnectFailures = 3;
-    /// Non-streaming responses up to this size are buffered, so that an incomplete one can be replaced by an error.
+    /// Non-streaming responses up to this size are buffered, so that an incomplete one can be replaced by an error. Larger
+    /// error responses are not forwarded.
     constexpr std::size_t kMaxBufferedResponse = 262144;
     /// Unsent bytes buffered for a slow caller before reading from the endpoint is paused.
     constexpr std::size_t kMaxUnsentBytes = 262144;
@@ -322,15 +323,21 @@
     }
     if (m_responseMode == ResponseMode::PassedThrough) {
         m_caller.sendChunk(bytes);
+        pauseReadingIfBacklogged();
         return;
     }
     m_responseBody += bytes;
+    if (m_responseBody.size() <= kMaxBufferedResponse)
+        return;
     const bool isSuccess = m_responseMetadata.isSigned && m_responseHead->status / kStatusClass == kSuccessClass;
-    if (m_responseBody.size() > kMaxBufferedResponse && isSuccess && !m_hasBegunResponse) {
-        m_responseMode = ResponseMode::PassedThrough;
-        beginResponse();
-        m_caller.sendChunk(std::exchange(m_responseBody, {}));
+    if (!isSuccess || m_hasBegunResponse) {
+        endSend(SendOutcome::Failed);
+        onPossiblyExecuted("the error response is too large");
+        return;
     }
+    m_responseMode = ResponseMode::PassedThrough;
+    beginResponse();
+    m_caller.sendChunk(std::exchange(m_responseBody, {}));
 }
 
 void GatewayRequest::relayEvents(std::string_view bytes)
@@ -338,7 +345,7 @@
     const auto events = m_relay.feed(bytes);
     if (!events) {
         endSend(SendOutcome::Failed);
-        onPossiblyExecuted("an event is missing");
+        onPossiblyExecuted("an event is missing or too large");
         return;
     }
     if (events->empty())
@@ -352,10 +359,15 @@
     }
     m_state.metrics.add(Counter::StreamPieces);
     m_caller.sendChunk(*events);
-    if (m_caller.unsent() > kMaxUnsentBytes) {
-        m_exchange->pauseReading(true);
-        m_callerTimer.set(MonotonicClock::now() + kCallerCheckInterval);
-    }
+    pauseReadingIfBacklogged();
+}
+
+void GatewayRequest::pauseReadingIfBacklogged()
+{
+    if (m_caller.unsent() <= kMaxUnsentBytes)
+        return;
+    m_exchange->pauseReading(true);
+    m_callerTimer.set(MonotonicClock::now() + kCallerCheckInterval);
 }
 
 void GatewayRequest::resumeReadingIfDrained()
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -58,6 +58,7 @@
     void onFailed(ExchangeFailure failure, const std::string& reason);
     void onDeadline();
     void onOverdue();
+    void pauseReadingIfBacklogged();
     void resumeReadingIfDrained();
 
     void relayEvents(std::string_view bytes);
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -174,7 +174,8 @@
     const auto now = MonotonicClock::now();
     for (std::size_t i = 0; i < kDirectoryTopics; ++i) {
         const auto topic = static_cast<DirectoryTopic>(i);
-        if (report.directoryEnds[i] > m_directory.replica().end(topic) && m_directory.isStale(topic, now) && !m_isFetching[i])
+        const bool isBehind = m_lags[i].isBehind(m_directory.replica().end(topic), report.directoryEnds[i], now);
+        if (isBehind && m_directory.isStale(topic, now) && !m_isFetching[i])
             fetch(topic, report.address);
     }
 }
--- a/src/hornbeamgate/runtime/gateway/peer_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.hpp
@@ -43,6 +43,7 @@
     std::unique_ptr<HttpAcceptor> m_acceptor;
     HttpConnectionPool m_connections;
     HttpCalls m_calls { m_connections };
+    std::array<ReplicaLag, kDirectoryTopics> m_lags;
     std::array<bool, kDirectoryTopics> m_isFetching {};
     std::map<EndpointId, MonotonicTime> m_loading;
     std::vector<std::pair<LoadedWeights, MonotonicTime>> m_loaded; ///< each with the time until which it is reported
--- a/src/hornbeamgate/runtime/net/http_call.cpp
+++ b/src/hornbeamgate/runtime/net/http_call.cpp
@@ -10,6 +10,7 @@
     request.peer = peer;
     request.text = std::move(requestText);
     request.connectDeadline = deadline;
+    request.maxBodyBytes = kMaxBodyBytes;
     m_timer.set(deadline);
     m_exchange = std::make_unique<HttpExchange>(pool, std::move(request),
         HttpExchange::Handlers { [this](const HttpResponseHead& head) { m_answer.status = head.status; }, [this](std::string_view octets) { m_answer.body += octets; },
--- a/src/hornbeamgate/runtime/net/http_call.hpp
+++ b/src/hornbeamgate/runtime/net/http_call.hpp
@@ -13,6 +13,9 @@
 /// Small request with a deadline; the response is buffered and reported as a whole.
 class HttpCall {
 public:
+    /// Size of the largest response body; the largest page of records is a few megabytes.
+    static constexpr std::size_t kMaxBodyBytes = 16777216;
+
     using Report = std::function<void(Result<HttpResponse, NetError>)>;
 
     /// `report` is called exactly once, never before the constructor returns, and may destroy the call. If the call is
--- a/src/hornbeamgate/runtime/net/http_exchange.cpp
+++ b/src/hornbeamgate/runtime/net/http_exchange.cpp
@@ -42,7 +42,7 @@
     , m_request(std::move(request))
     , m_handlers(std::make_shared<const Handlers>(std::move(handlers)))
 {
-    m_parser = HttpParser::forResponses({}, { {}, [this](HttpResponseHead head) { onHead(std::move(head)); }, [this](std::string_view octets) {
+    m_parser = HttpParser::forResponses({ HttpParserLimits().maxHeadBytes, m_request.maxBodyBytes }, { {}, [this](HttpResponseHead head) { onHead(std::move(head)); }, [this](std::string_view octets) {
                                                  if (!m_isSkipping)
                                                      m_events.push_back({ Event::Kind::Body, {}, std::string(octets) }); }, [this] { onComplete(); } });
     m_parser->expectNoBody(m_request.isHeadRequest);
--- a/src/hornbeamgate/runtime/net/http_exchange.hpp
+++ b/src/hornbeamgate/runtime/net/http_exchange.hpp
@@ -23,6 +23,7 @@
     std::string text; ///< serialized head and body
     bool isHeadRequest = false;
     MonotonicTime connectDeadline {};
+    std::size_t maxBodyBytes = SIZE_MAX; ///< a larger response body is a failure
     /// Responses for which this returns false belong to an earlier exchange and are skipped. Empty: every response
     /// matches.
     std::function<bool(const HttpResponseHead&)> isMatchingResponse;
--- a/tests/gateway/directory_replica.test.cpp
+++ b/tests/gateway/directory_replica.test.cpp
@@ -1,9 +1,13 @@
 #include "hornbeamgate/gateway/directory_replica.hpp"
 
+#include "gateway/time_support.hpp"
+
 #include <doctest/doctest.h>
 
 using namespace hornbeamgate;
 using namespace hornbeamgate::gateway;
+using namespace hornbeamgate::gateway::testing;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -50,3 +54,18 @@
     CHECK(missing.front().key == "gone");
     CHECK_FALSE(missing.front().value);
 }
+
+TEST_CASE("a daemon is behind its peers only if the store does not catch it up in time [directory]")
+{
+    constexpr auto kGrace = ReplicaLag::kGrace;
+    ReplicaLag lag;
+    CHECK_FALSE(lag.isBehind(LogOffset(5), LogOffset(5), at(0ms)));
+    CHECK_FALSE(lag.isBehind(LogOffset(5), LogOffset(6), at(100ms)));
+    // The store's own answer arrived.
+    CHECK_FALSE(lag.isBehind(LogOffset(6), LogOffset(6), at(200ms)));
+    CHECK_FALSE(lag.isBehind(LogOffset(6), LogOffset(7), at(1s)));
+    CHECK_FALSE(lag.isBehind(LogOffset(6), LogOffset(7), at(1s + kGrace - 1ms)));
+    // A peer without newer records cannot help.
+    CHECK_FALSE(lag.isBehind(LogOffset(6), LogOffset(6), at(1s + kGrace)));
+    CHECK(lag.isBehind(LogOffset(6), LogOffset(7), at(1s + kGrace)));
+}
--- a/tests/gateway/event_relay.test.cpp
+++ b/tests/gateway/event_relay.test.cpp
@@ -43,3 +43,15 @@
     CHECK(relay.feed(event(13)) == event(13));
     CHECK_FALSE(relay.feed(event(15)));
 }
+
+TEST_CASE("bytes that never end an event are a failure, not a growing buffer [events]")
+{
+    EventRelay relay(std::nullopt);
+    REQUIRE(relay.feed(event(1)));
+    const std::string junk(65536, 'x');
+    std::size_t fed = 0;
+    while (relay.feed(junk))
+        REQUIRE((fed += junk.size()) <= EventRelay::kMaxEventBytes);
+    CHECK(fed > EventRelay::kMaxEventBytes - 2 * junk.size());
+    CHECK(relay.takeRemainder().empty());
+}
--- a/tests/net/http_exchange.test.cpp
+++ b/tests/net/http_exchange.test.cpp
@@ -241,3 +241,37 @@
     REQUIRE(runUntil([&] { return server.hasEnded(0); }));
     CHECK(reports == 1);
 }
+
+TEST_CASE("a call whose response does not end is given up at its size limit, long before its deadline [exchange]")
+{
+    ScriptedServer server;
+    HttpConnectionPool pool;
+    HttpCalls calls(pool);
+    std::optional<Result<HttpResponse, NetError>> result;
+    calls.start(server.address(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n", MonotonicClock::now() + 1h, [&](Result<HttpResponse, NetError> answered) { result = std::move(answered); });
+    server.waitFor(0, "GET /");
+    server.send(0, "HTTP/1.1 200 OK\r\n\r\n");
+    const std::string junk(1048576, 'x');
+    for (std::size_t sent = 0; sent <= HttpCall::kMaxBodyBytes; sent += junk.size())
+        server.send(0, junk);
+    REQUIRE(runUntil([&] { return result.has_value(); }));
+    CHECK_FALSE(*result);
+    REQUIRE(runUntil([&] { return server.hasEnded(0); }));
+}
+
+TEST_CASE("a head that does not end is given up at its size limit [exchange]")
+{
+    for (const char* start : { "HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nX-Junk: ", "HTTP/1.1 200 OK\r\n", "junk" }) {
+        ScriptedServer server;
+        HttpConnectionPool pool;
+        ExchangeRecorder exchange(pool, server.address(), "1");
+        server.waitFor(0, "GET /1");
+        server.send(0, start);
+        std::string junk;
+        while (junk.size() < 1048576)
+            junk += std::string_view(start).ends_with("OK\r\n") ? "A: b\r\n" : "junk";
+        server.send(0, junk);
+        exchange.waitForEnd();
+        CHECK(exchange.failure == ExchangeFailure::MalformedAnswer);
+    }
+}
--- a/tests/net/scripted_server.hpp
+++ b/tests/net/scripted_server.hpp
@@ -36,6 +36,7 @@
     void finish(std::size_t connection) { m_streams.at(connection)->finishSending(); }
     /// Closes the socket, which resets the connection if there is unread data.
     void drop(std::size_t connection) { m_streams.at(connection).reset(); }
+    std::size_t unsent(std::size_t connection) const { return m_streams.at(connection)->unsent(); }
     bool hasEnded(std::size_t connection) const { return *m_ended.at(connection); }
 
 private:
--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -244,6 +244,39 @@
     }
 }
 
+TEST_CASE("a response that does not end is given up at its size limit and becomes 502 [request]")
+{
+    const std::string junk(4 * 1048576, 'x');
+    for (const auto& [target, bytes] : { std::pair { "/booking/a", head(200, "\r\n") }, std::pair { "/booking/a", head(500, std::string(kSigned) + "\r\n") },
+             std::pair { "/once/a", head(200, std::string(kSigned) + "\r\n") } }) {
+        CAPTURE(bytes);
+        GatewayFixture fixture;
+        fixture.request(target);
+        fixture.first.waitFor(0, "hi");
+        fixture.first.send(0, bytes + junk);
+        // The scripted endpoint sends no end, so without a limit the caller would wait for the route's timeout.
+        fixture.waitFor("HTTP/1.1 502");
+        REQUIRE(runUntil([&] { return fixture.first.hasEnded(0); }));
+    }
+}
+
+TEST_CASE("reading from an endpoint pauses while the caller does not read a large response [request]")
+{
+    GatewayFixture fixture;
+    fixture.request("/read/a");
+    fixture.caller->pauseReading(true);
+    fixture.first.waitFor(0, "hi");
+    fixture.first.send(0, head(200, std::string(kSigned) + "\r\n"));
+    // More than the socket buffers of both connections hold.
+    constexpr std::size_t kBodyBytes = 64 * 1048576;
+    fixture.first.send(0, std::string(kBodyBytes, 'x'));
+    const auto end = MonotonicClock::now() + 1s;
+    REQUIRE(runUntil([&] { return MonotonicClock::now() > end; }));
+    CHECK(fixture.first.unsent(0) > kBodyBytes / 4);
+    fixture.caller->pauseReading(false);
+    REQUIRE(runUntil([&] { return fixture.first.unsent(0) == 0; }));
+}
+
 TEST_CASE("a stream relays complete events as they arrive and ends with the engine's stream [request]")
 {
     GatewayFixture fixture;
