Give up an event whose data lines do not end

The agent's parser limited a line, not the event: lines of data without a blank one between them grew without a limit until the engine closed. The test feeds 64 MB and fails on the code before. The limit of 4 MB now covers the event.

--- a/src/hornbeamgate/streams/sse_parser.cpp
+++ b/src/hornbeamgate/streams/sse_parser.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-    constexpr std::size_t kMaxLineBytes = std::size_t { 4 } * 1024 * 1024;
+    /// Size limit of a line, and of the data of an event.
+    constexpr std::size_t kMaxEventBytes = std::size_t { 4 } * 1024 * 1024;
 
     std::optional<std::uint64_t> parseId(std::string_view text)
     {
@@ -19,14 +20,14 @@
 
 } // namespace
 
-Result<std::vector<SseEvent>, SseLineTooLong> SseParser::feed(std::string_view octets)
+Result<std::vector<SseEvent>, SseEventTooLarge> SseParser::feed(std::string_view octets)
 {
     std::vector<SseEvent> events;
     while (!octets.empty()) {
         const auto newline = octets.find('\n');
         m_partialLine += octets.substr(0, newline);
-        if (m_partialLine.size() > kMaxLineBytes)
-            return failure(SseLineTooLong {});
+        if (m_partialLine.size() + m_event.data.size() > kMaxEventBytes)
+            return failure(SseEventTooLarge {});
         if (newline == std::string_view::npos)
             break;
         octets.remove_prefix(newline + 1);
--- a/src/hornbeamgate/streams/sse_parser.hpp
+++ b/src/hornbeamgate/streams/sse_parser.hpp
@@ -18,15 +18,15 @@
     bool operator==(const SseEvent&) const = default;
 };
 
-/// Error: a line exceeds the size limit.
-struct SseLineTooLong {
+/// Error: an event, or one of its lines, exceeds the size limit.
+struct SseEventTooLarge {
 };
 
 /// Incremental parser for server-sent events (WHATWG HTML, section 9.2). Events without data are skipped.
 class SseParser {
 public:
     /// Consumes the next bytes of the stream and returns the events that they complete.
-    Result<std::vector<SseEvent>, SseLineTooLong> feed(std::string_view octets);
+    Result<std::vector<SseEvent>, SseEventTooLarge> feed(std::string_view octets);
 
 private:
     void parseLine(std::string_view line, std::vector<SseEvent>& events);
--- a/tests/streams/codecs.test.cpp
+++ b/tests/streams/codecs.test.cpp
@@ -82,3 +82,14 @@
     SseParser reader;
     CHECK_FALSE(reader.feed(std::string(std::size_t { 5 } * 1024 * 1024, 'x')));
 }
+
+TEST_CASE("SseParser gives up an event whose lines do not end [streams][sse]")
+{
+    SseParser reader;
+    const std::string lines = "data: " + std::string(65536, 'x') + '\n';
+    std::size_t fed = 0;
+    constexpr std::size_t kFarTooMuch = 64 * 1048576;
+    while (fed < kFarTooMuch && reader.feed(lines))
+        fed += lines.size();
+    CHECK(fed < kFarTooMuch);
+}
