--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -246,14 +246,17 @@
 
 TEST_CASE("a response that does not end is given up at its size limit and becomes 502 [request]")
 {
-    const std::string junk(4 * 1048576, 'x');
-    for (const auto& [target, bytes] : { std::pair { "/booking/a", head(200, "\r\n") }, std::pair { "/booking/a", head(500, std::string(kSigned) + "\r\n") },
-             std::pair { "/once/a", head(200, std::string(kSigned) + "\r\n") } }) {
-        CAPTURE(bytes);
+    const std::string junk(4194304, 'x');
+    struct Case {
+        std::string target;
+        std::string start;
+    };
+    for (const auto& example : { Case { "/booking/a", head(200, "\r\n") }, Case { "/booking/a", head(500, std::string(kSigned) + "\r\n") }, Case { "/once/a", head(200, std::string(kSigned) + "\r\n") } }) {
+        CAPTURE(example.start);
         GatewayFixture fixture;
-        fixture.request(target);
+        fixture.request(example.target);
         fixture.first.waitFor(0, "hi");
-        fixture.first.send(0, bytes + junk);
+        fixture.first.send(0, example.start + junk);
         // The scripted endpoint sends no end, so without a limit the caller would wait for the route's timeout.
         fixture.waitFor("HTTP/1.1 502");
         REQUIRE(runUntil([&] { return fixture.first.hasEnded(0); }));
@@ -268,7 +271,7 @@
     fixture.first.waitFor(0, "hi");
     fixture.first.send(0, head(200, std::string(kSigned) + "\r\n"));
     // More than the socket buffers of both connections hold.
-    constexpr std::size_t kBodyBytes = 64 * 1048576;
+    constexpr std::size_t kBodyBytes = 67108864;
     fixture.first.send(0, std::string(kBodyBytes, 'x'));
     const auto end = MonotonicClock::now() + 1s;
     REQUIRE(runUntil([&] { return MonotonicClock::now() > end; }));
--- a/tests/streams/codecs.test.cpp
+++ b/tests/streams/codecs.test.cpp
@@ -88,7 +88,7 @@
     SseParser reader;
     const std::string lines = "data: " + std::string(65536, 'x') + '\n';
     std::size_t fed = 0;
-    constexpr std::size_t kFarTooMuch = 64 * 1048576;
+    constexpr std::size_t kFarTooMuch = 67108864;
     while (fed < kFarTooMuch && reader.feed(lines))
         fed += lines.size();
     CHECK(fed < kFarTooMuch);
