--- a/src/hornbeamgate/gateway/order_journal.cpp
+++ b/src/hornbeamgate/gateway/order_journal.cpp
@@ -43,7 +43,7 @@
         return std::nullopt;
     m_isCallPending = true;
     m_appendRequestedAt = now;
-    m_writtenTokens.insert(m_token);
+    m_appendToken = m_token;
     m_inAppend = m_step == Step::Owned ? m_requested : std::set<EndpointId> {};
     for (const auto& endpoint : m_inAppend)
         m_orders[endpoint] = { { m_self, m_end }, now + exclusion() };
@@ -85,6 +85,7 @@
         return;
     }
     m_end = *end;
+    m_writtenTokens.insert(m_appendToken);
     if (m_step == Step::Claiming) {
         finishClaim(now);
         return;
--- a/src/hornbeamgate/gateway/order_journal.hpp
+++ b/src/hornbeamgate/gateway/order_journal.hpp
@@ -139,8 +139,8 @@
     Duration m_lease;
     Step m_step = Step::Released;
     FencingToken m_token;
-    /// Tokens of the records that this process wrote. An earlier process on this host may have written one with the same token
-    /// before this process wrote its first record.
+    /// Tokens of the records that this process has written. A token alone does not tell its records from those of an earlier
+    /// process on this host, whose leadership may have continued.
     std::set<FencingToken> m_writtenTokens;
     LogOffset m_end;
     bool m_isCallPending = false;
@@ -150,6 +150,7 @@
     std::set<EndpointId> m_requested;
     std::set<EndpointId> m_inAppend; ///< requested endpoints in the pending append
     MonotonicTime m_appendRequestedAt {};
+    FencingToken m_appendToken; ///< of the pending append
     std::map<EndpointId, MonotonicTime> m_usableUntil; ///< recorded endpoints to which an order may be sent
     std::map<EndpointId, KnownOrder> m_orders; ///< of this daemon and its predecessors
     std::map<EndpointId, RecordedOrder> m_unclaimedOrders; ///< read from the predecessor's record, until the claim
--- a/tests/gateway/order_journal.test.cpp
+++ b/tests/gateway/order_journal.test.cpp
@@ -198,6 +198,19 @@
     CHECK(takeAppend(journal, at(1s)).record == ownRecord(4, { { kFirst, { kSelf, LogOffset(9) } }, { kSecond, { kOther, kRequestedAt } } }));
 }
 
+TEST_CASE("a claim that failed does not pass for a record of an earlier process [journal]")
+{
+    OrderJournal journal(kSelf, kLease);
+    const auto earlier = ownRecord(4, { { kSecond, { kOther, kRequestedAt } } });
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        journal.takeOver(FencingToken(4));
+        journal.takeCall(at(1s * attempt));
+        journal.onRead(OrderRecordPosition { earlier, LogOffset(8) }, at(1s * attempt));
+        CHECK(takeAppend(journal, at(1s * attempt)).record.orders == earlier.orders);
+        journal.onAppended(std::nullopt, at(1s * attempt));
+    }
+}
+
 TEST_CASE("a successor that heard how old an order is waits only for the rest of its lease [journal]")
 {
     OrderJournal journal(kSelf, kLease);
@@ -247,6 +260,7 @@
     leader.takeCall(at(0ms));
     leader.onRead(OrderRecordPosition { recordOf(3, {}), LogOffset(8) }, at(0ms));
     takeAppend(leader, at(0ms));
+    leader.onAppended(LogOffset(9), at(0ms));
     leader.onRecordFound(recordOf(3, { kFirst }), at(0ms));
     CHECK(leader.heardOrders(at(2s)).empty());
 }
--- a/tests/gateway/rollout_fleet.cpp
+++ b/tests/gateway/rollout_fleet.cpp
@@ -17,6 +17,7 @@
     constexpr milliseconds kReportInterval { 200 };
     constexpr milliseconds kCallTimeout { 1500 };
     constexpr milliseconds kLoadTimeout { 6000 };
+    constexpr milliseconds kOrderTimeout { 800 };
     constexpr milliseconds kQueryInterval { 250 };
 
     EndpointId idOf(std::size_t engine)
@@ -405,6 +406,9 @@
     operation.order.token = self.rollout->leadership(m_now).value();
     const bool isLost = m_now < m_lateOrdersUntil && chance(30);
     const bool isLate = m_now < m_lateOrdersUntil && chance(30);
+    // An order without an answer is given up after a while, though it may be carried out later.
+    if (isLost || isLate)
+        scheduleFailure(daemon, endpoint, m_now + kOrderTimeout);
     if (isLost)
         return;
     m_events.push({ m_now + random(1, 60), ++m_eventNumber, kDaemons, {},
@@ -421,10 +425,12 @@
     target.lastSender = daemon;
     target.lastOrderAt = m_now;
     target.highestToken = std::max(target.highestToken, order.token);
-    const auto accept = [this, engine, version = order.version, acceptedOrders, restarts = target.restarts] {
+    const auto accept = [this, daemon, order, engine, version = order.version, acceptedOrders, restarts = target.restarts] {
         auto& receiver = m_engines[engine];
-        if (receiver.restarts != restarts || receiver.acceptedOrders != acceptedOrders || receiver.loading > receiver.version)
+        if (receiver.restarts != restarts || receiver.acceptedOrders != acceptedOrders || receiver.loading > receiver.version) {
+            scheduleFailure(daemon, order.endpoint, m_now + random(2, 60));
             return;
+        }
         ++receiver.acceptedOrders;
         receiver.loading = version;
         receiver.loadedAt = m_now + random(200, static_cast<int>(m_longestLoad.count()));
@@ -435,6 +441,18 @@
         accept();
 }
 
+void RolloutFleet::scheduleFailure(std::size_t daemon, const EndpointId& endpoint, MonotonicTime at)
+{
+    const auto current = m_daemons[daemon].operations.find(endpoint);
+    if (current == m_daemons[daemon].operations.end())
+        return;
+    schedule(at, daemon, [this, daemon, endpoint, number = current->second.number] {
+        const auto found = m_daemons[daemon].operations.find(endpoint);
+        if (found != m_daemons[daemon].operations.end() && found->second.number == number)
+            finishOperation(daemon, endpoint, false);
+    });
+}
+
 void RolloutFleet::finishOperation(std::size_t daemon, const EndpointId& endpoint, bool isLoaded)
 {
     auto& self = m_daemons[daemon];
--- a/tests/gateway/rollout_fleet.hpp
+++ b/tests/gateway/rollout_fleet.hpp
@@ -124,6 +124,8 @@
     void query(std::size_t daemon, const EndpointId& endpoint);
     void sendOrder(std::size_t daemon, const EndpointId& endpoint);
     void receiveOrder(std::size_t daemon, std::size_t engine, const WeightsOrder& order, std::uint64_t acceptedOrders, bool isLate);
+    /// Lets the operation that is in progress for `endpoint` fail at `at`.
+    void scheduleFailure(std::size_t daemon, const EndpointId& endpoint, MonotonicTime at);
     void finishOperation(std::size_t daemon, const EndpointId& endpoint, bool isLoaded);
     void expireMembers();
     RolloutMembership join(const HostId& host);
