Read the endpoints every 1.2 s again in large fleets

Engines that come back are used a second later, just when capacity is short. The cheaper calls have to come from fewer readers, which tell the others at once.

--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -33,9 +33,9 @@
 
     /// Added to the poll interval for each additional daemon, so that the store's load grows more slowly than the fleet.
     constexpr milliseconds kPollIntervalPerPeer { 25 };
-    /// Part of the bound on noticing a leaving endpoint that is kept for one call that times out and its retry.
-    constexpr milliseconds kPollFailureTime { 1800 };
-    constexpr milliseconds kMinPollInterval { 500 };
+    /// A leaving endpoint must be noticed within 3 s; this interval leaves time for one call that times out and its retry.
+    /// A longer one leaves engines unused after a crash, when capacity is short.
+    constexpr milliseconds kMaxPollInterval { 1200 };
 
     /// Delay after the first failed call, doubled up to the maximum to limit the load on a store that is down.
     constexpr milliseconds kInitialRetryDelay { 200 };
@@ -148,8 +148,7 @@
     if (topic != DirectoryTopic::Endpoints)
         return pause;
     const auto peers = static_cast<std::int64_t>(m_state.peers.runningCount(MonotonicClock::now()));
-    const auto longest = std::max<Duration>(m_state.settings.drainBound - kPollFailureTime, kMinPollInterval);
-    return std::min<Duration>(pause + kPollIntervalPerPeer * peers, longest);
+    return std::min(pause + kPollIntervalPerPeer * peers, kMaxPollInterval);
 }
 
 void DirectoryTask::applyPeerRecords(DirectoryTopic topic, const std::vector<DirectoryRecord>& records)
--- a/src/hornbeamgate/settings/gateway_settings.hpp
+++ b/src/hornbeamgate/settings/gateway_settings.hpp
@@ -16,7 +16,6 @@
     std::map<DataCenterId, RegionId> regions;
     gateway::RetryLimits retries;
     Duration weightsBound {}; ///< maximum time from a change of a model's weights until no new request starts on older ones
-    Duration drainBound {}; ///< maximum time from an endpoint's report that it leaves until it gets no new request
     Duration minMembershipLifetime {}; ///< shortest lifetime of a group membership that the store accepts
     Duration leaderLease {}; ///< minimum time between orders from two different daemons to the same engine
 };
--- a/tests/platform/directory_task.test.cpp
+++ b/tests/platform/directory_task.test.cpp
@@ -23,7 +23,6 @@
         made.common.host = HostId("front-1");
         made.leaderLease = 3s;
         made.weightsBound = 10s;
-        made.drainBound = 3s;
         return made;
     }
 
@@ -99,25 +98,17 @@
     CHECK(fixture.state.registry.find(EndpointId("a")));
 }
 
-TEST_CASE("the endpoint poll interval grows with the fleet, as far as the bound on leaving endpoints allows [directory]")
+TEST_CASE("the endpoint poll interval grows with the fleet up to its limit [directory]")
 {
-    struct Case {
-        std::chrono::milliseconds drainBound;
-        std::chrono::milliseconds shortest;
-        std::chrono::milliseconds longest;
-    };
-    for (const auto& [drainBound, shortest, longest] : { Case { 3s, 1s, 1500ms }, Case { 5s, 1400ms, 1900ms } }) {
-        Fixture fixture;
-        fixture.settings.drainBound = drainBound;
-        for (int i = 0; i < 40; ++i)
-            fixture.state.peers.add(HostId("front-" + std::to_string(100 + i)), {}, Incarnation(1), MonotonicClock::now());
-        fixture.directory.answer(DirectoryTopic::Endpoints, DirectoryPage { { engine("a", 1) }, LogOffset(2) });
-        const auto answered = MonotonicClock::now();
-        REQUIRE(runUntil([&] { return fixture.directory.hasPendingCall(DirectoryTopic::Endpoints); }));
-        const auto pause = MonotonicClock::now() - answered;
-        CHECK(pause > shortest);
-        CHECK(pause < longest);
-    }
+    Fixture fixture;
+    for (int i = 0; i < 40; ++i)
+        fixture.state.peers.add(HostId("front-" + std::to_string(100 + i)), {}, Incarnation(1), MonotonicClock::now());
+    fixture.directory.answer(DirectoryTopic::Endpoints, DirectoryPage { { engine("a", 1) }, LogOffset(2) });
+    const auto answered = MonotonicClock::now();
+    REQUIRE(runUntil([&] { return fixture.directory.hasPendingCall(DirectoryTopic::Endpoints); }));
+    const auto pause = MonotonicClock::now() - answered;
+    CHECK(pause > 1s);
+    CHECK(pause < 1500ms);
 }
 
 TEST_CASE("a starting daemon waits for a report from the leader before it joins the rollout group [directory]")
--- a/tests/platform/settings_template.test.cpp
+++ b/tests/platform/settings_template.test.cpp
@@ -28,7 +28,6 @@
         { "{{bounds.retry-budget-ratio|json}}", "0.2" },
         { "{{bounds.budget-slack|json}}", "56" },
         { "{{bounds.budget-window-s}}", "10" },
-        { "{{bounds.drain-timeout-ms}}", "3000" },
         { "{{bounds.version-ms}}", "10000" },
         { "{{bounds.lease-duration-ms}}", "3000" },
         { "{{platform.min-ttl-ms|json}}", "1000" },
@@ -63,7 +62,6 @@
     CHECK(settings->retries.window == 10s);
     CHECK(settings->leaderLease == 3s);
     CHECK(settings->weightsBound == 10s);
-    CHECK(settings->drainBound == 3s);
 }
 
 TEST_CASE("errors in gateway settings name the field and the allowed values [settings]")
