Log each further send of a request and how the previous one ended

A request's last line told how often it was sent, but not why. Three causes could not be told apart: a send that was wrongly taken for not sent, a refusal of an engine that had run the request, and a send that no ended send had led to. Of requests without a shared prompt no send was logged at all.

The new event request_resent has the previous endpoint and the cause; "none" stands for the third case.

--- a/src/hornbeamgate/observability/log.cpp
+++ b/src/hornbeamgate/observability/log.cpp
@@ -34,6 +34,7 @@
         EventEntry { LogEvent::RequestFinished, "request_finished", LogLevel::Info },
         EventEntry { LogEvent::RequestRefused, "request_refused", LogLevel::Info },
         EventEntry { LogEvent::RequestPlaced, "request_placed", LogLevel::Info },
+        EventEntry { LogEvent::RequestResent, "request_resent", LogLevel::Info },
         EventEntry { LogEvent::RunFinished, "run_finished", LogLevel::Debug },
         EventEntry { LogEvent::RunFailed, "run_failed", LogLevel::Warning },
         EventEntry { LogEvent::LinkOpened, "link_opened", LogLevel::Info },
--- a/src/hornbeamgate/observability/log.hpp
+++ b/src/hornbeamgate/observability/log.hpp
@@ -21,6 +21,7 @@
     RequestFinished,
     RequestRefused,
     RequestPlaced,
+    RequestResent,
     RunFinished,
     RunFailed,
     LinkOpened,
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -158,6 +158,12 @@
         waitForCapacity();
 }
 
+void GatewayRequest::resend(std::string_view cause)
+{
+    m_resendCause = cause;
+    sendOrQueue();
+}
+
 void GatewayRequest::waitForCapacity()
 {
     const auto now = MonotonicClock::now();
@@ -261,7 +267,7 @@
 void GatewayRequest::send(const EndpointEntry& endpoint, const Placement& placement)
 {
     const auto now = MonotonicClock::now();
-    m_endpoint = endpoint.id;
+    const auto previousEndpoint = std::exchange(m_endpoint, endpoint.id);
     m_triedEndpoints.insert(endpoint.id);
     m_sendNumber = ++m_state.sendCount;
     m_sentAt = now;
@@ -278,6 +284,8 @@
     m_requiredWeights = metadata.requiredWeights;
     if (placement.blocks)
         logPlacement(placement, now);
+    if (m_sendCount > 1 || m_connectFailures > 0)
+        logResend(previousEndpoint);
 
     ExchangeRequest request;
     request.peer = endpoint.address;
@@ -302,6 +310,13 @@
             { "block_source", placement.blockSource ? placement.blockSource->value() : std::string() }, { "expected_ms", placement.expectedWait.count() } });
 }
 
+void GatewayRequest::logResend(const EndpointId& previousEndpoint)
+{
+    logEvent(LogEvent::RequestResent,
+        { { "request", m_metadata.requestId }, { "route", m_route->name }, { "endpoint", m_endpoint.value() }, { "previous", previousEndpoint.value() },
+            { "sends", m_sendCount }, { "cause", std::exchange(m_resendCause, "none") }, { "may_have_run", m_mayHaveExecuted ? 1 : 0 } });
+}
+
 void GatewayRequest::onHead(HttpResponseHead head)
 {
     const auto now = MonotonicClock::now();
@@ -427,7 +442,7 @@
     m_mayHaveExecuted = true;
     if (m_route->isRetryable() && tryAcquireRetry()) {
         m_state.metrics.add(Counter::RunsRetried);
-        sendOrQueue();
+        resend("error_response");
         return;
     }
     if (statusMeansNotExecuted(status))
@@ -451,7 +466,7 @@
         m_state.loads.pauseUntil(m_endpoint, MonotonicClock::now() + kMinRetryAfter);
     if (tryAcquireRetry()) {
         m_state.metrics.add(Counter::RunsRetried);
-        sendOrQueue();
+        resend("not_executed");
         return;
     }
     if (m_mayHaveExecuted)
@@ -473,7 +488,7 @@
     --m_sendCount;
     ++m_connectFailures;
     if (m_connectFailures < kMaxConnectFailures && now < m_deadline) {
-        sendOrQueue();
+        resend("not_sent");
         return;
     }
     if (m_mayHaveExecuted)
@@ -489,7 +504,7 @@
     const bool canGoOn = m_route->isStreaming ? m_route->isResumable : !m_hasBegunResponse;
     if (m_route->isRetryable() && canGoOn && tryAcquireRetry()) {
         m_state.metrics.add(m_hasBegunResponse ? Counter::RunsResumed : Counter::RunsRetried);
-        sendOrQueue();
+        resend("failed");
         return;
     }
     refuse({ kBadGateway, reason, {} });
@@ -518,7 +533,7 @@
     m_exchange.reset();
     endSend(SendOutcome::Failed);
     m_state.metrics.add(Counter::RunsRetried);
-    sendOrQueue();
+    resend("overdue");
 }
 
 void GatewayRequest::onDeadline()
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -37,12 +37,15 @@
     bool authorizeAndRoute();
     bool chargeRate();
     void sendOrQueue();
+    /// Sends the request again; `cause` says how the previous send ended.
+    void resend(std::string_view cause);
     /// Sends the request to an endpoint that has capacity. Returns false if the request has to wait.
     bool trySend();
     void waitForCapacity();
     void leaveQueue();
     void send(const EndpointEntry& endpoint, const Placement& placement);
     void logPlacement(const Placement& placement, MonotonicTime now) const;
+    void logResend(const EndpointId& previousEndpoint);
     ForwardMetadata forwardMetadata(const EndpointEntry& endpoint, const Placement& placement, MonotonicTime now) const;
     std::string cacheDomain() const;
     /// Priority passed to the engine; 0 is the highest.
@@ -90,6 +93,7 @@
     std::set<EndpointId> m_triedEndpoints;
     int m_sendCount = 0; ///< endpoints that may have received the request
     int m_connectFailures = 0;
+    std::string_view m_resendCause = "none";
     bool m_mayHaveExecuted = false;
     bool m_hasBegunResponse = false;
     bool m_isFinished = false;
