End an exchange at its first failure

An exchange promises one final call of complete or failed. After a malformed response it kept its connection, and the end of that connection was reported as a second failure of the same send. A request that had been queued for another endpoint meanwhile was then queued, and counted, twice.

Ruled out: a second failure after a complete response (the connection is back in the pool or closed by then) and after a failed connection attempt (the stream ends once).

The exchange now closes its connection before it reports the failure, which also ends the engine's work on it at once. The test failed before: failures was 2 after the peer's close.

--- a/src/hornbeamgate/runtime/net/http_exchange.cpp
+++ b/src/hornbeamgate/runtime/net/http_exchange.cpp
@@ -176,6 +176,9 @@
 void HttpExchange::fail(ExchangeFailure failure, const std::string& reason)
 {
     m_isDone = true;
+    m_events.clear();
+    // Without its connection the exchange cannot report the end of the connection as a second failure.
+    m_stream.reset();
     const auto handlers = m_handlers;
     handlers->failed(failure, reason);
 }
--- a/tests/net/http_exchange.test.cpp
+++ b/tests/net/http_exchange.test.cpp
@@ -7,6 +7,7 @@
 using namespace hornbeamgate;
 using namespace hornbeamgate::gateway;
 using namespace hornbeamgate::gateway::testing;
+using hornbeamgate::testing::runFor;
 using hornbeamgate::testing::runUntil;
 using namespace std::chrono_literals;
 
@@ -23,7 +24,10 @@
         request.isMatchingResponse = [id](const HttpResponseHead& head) { return head.fields.find("Id") == id; };
         exchange = std::make_unique<HttpExchange>(pool, std::move(request),
             HttpExchange::Handlers { [this](const HttpResponseHead& head) { status = head.status; }, [this](std::string_view octets) { body += octets; }, [this] { isComplete = true; },
-                [this](ExchangeFailure reason, const std::string&) { failure = reason; } });
+                [this](ExchangeFailure reason, const std::string&) {
+                    failure = reason;
+                    ++failures;
+                } });
     }
 
     bool hasEnded() const { return isComplete || failure; }
@@ -36,6 +40,7 @@
     std::string body;
     bool isComplete = false;
     std::optional<ExchangeFailure> failure;
+    int failures = 0;
     std::unique_ptr<HttpExchange> exchange;
 };
 
@@ -163,6 +168,21 @@
     }
 }
 
+TEST_CASE("a malformed response fails once and closes the connection, which its end does not report again [exchange]")
+{
+    ScriptedServer server;
+    HttpConnectionPool pool;
+    ExchangeRecorder recorder(pool, server.address(), "one");
+    server.waitFor(0, "/one");
+    server.send(0, "no response of this protocol\r\n\r\n");
+    recorder.waitForEnd();
+    CHECK(recorder.failure == ExchangeFailure::MalformedAnswer);
+    server.finish(0);
+    runFor(50ms);
+    CHECK(recorder.failures == 1);
+    CHECK(server.hasEnded(0));
+}
+
 TEST_CASE("a response without a length is complete after an orderly close [exchange]")
 {
     ScriptedServer server;
--- a/tests/runtime/loop_support.hpp
+++ b/tests/runtime/loop_support.hpp
@@ -19,4 +19,14 @@
     return !expired;
 }
 
+/// Runs the main loop for `time`.
+inline void runFor(std::chrono::milliseconds time)
+{
+    bool expired = false;
+    Timer end([&] { expired = true; });
+    end.set(MonotonicClock::now() + time);
+    while (!expired)
+        g_main_context_iteration(nullptr, TRUE);
+}
+
 } // namespace hornbeamgate::testing
