Keep a place in the prompt queue no longer than its request

Cause: a request that had given up an engine's response and waited in the queue for another engine still had the old exchange. Its later bytes, or the end of its connection, ended the same send again; the request entered the queue a second time and the number of its first place was overwritten. Nobody could withdraw that place any more. Every 20 ms it sent the request again, past max-attempts, to one engine after the other. After the request's end its callback ran on freed memory, where another request of the same daemon stood by then: that one was sent again, a booking too, or refused as not executed though it had run, or the daemon crashed.

In the test the second end puts two places in the queue (waiting.size() was 2); the booking that follows crashed or hung the test program.

The place is now a ticket that the request owns: replacing or destroying it withdraws the waiter. The end of a send closes its exchange, so nothing can end it again.

--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -67,7 +67,6 @@
 
 GatewayRequest::~GatewayRequest()
 {
-    leaveQueue();
     if (m_isSending)
         endSend(SendOutcome::Abandoned);
 }
@@ -172,9 +171,7 @@
         refuseForCapacity(std::chrono::ceil<milliseconds>(wait));
         return;
     }
-    m_queueNumber = m_state.waiting.add(m_deadline, { [this] { return trySend(); }, [this] {
-                                                        m_queueNumber.reset();
-                                                        refuseForCapacity(kDefaultRetryAfter); } });
+    m_queueTicket = m_state.waiting.add(m_deadline, { [this] { return trySend(); }, [this] { refuseForCapacity(kDefaultRetryAfter); } });
 }
 
 void GatewayRequest::refuseForCapacity(milliseconds wait)
@@ -182,12 +179,6 @@
     refuse({ m_mayHaveExecuted ? kBadGateway : kUnavailable, "no engine has room in time", addRetryJitter(wait) });
 }
 
-void GatewayRequest::leaveQueue()
-{
-    if (m_queueNumber)
-        m_state.waiting.remove(*std::exchange(m_queueNumber, {}));
-}
-
 bool GatewayRequest::trySend()
 {
     const auto now = MonotonicClock::now();
@@ -200,8 +191,7 @@
         refuseUnplaced(placement);
         return true;
     }
-    if (m_queueNumber)
-        m_state.waiting.dispatch(*std::exchange(m_queueNumber, {}));
+    m_queueTicket.dispatch();
     send(*endpoint, placement);
     return true;
 }
@@ -530,7 +520,6 @@
         return;
     logEvent(LogEvent::RunFailed, { { "request", m_metadata.requestId }, { "endpoint", m_endpoint.value() }, { "reason", "overdue" } });
     m_mayHaveExecuted = true;
-    m_exchange.reset();
     endSend(SendOutcome::Failed);
     m_state.metrics.add(Counter::RunsRetried);
     resend("overdue");
@@ -540,7 +529,6 @@
 {
     if (m_isSending) {
         m_mayHaveExecuted = true;
-        m_exchange.reset();
         endSend(SendOutcome::Failed);
     }
     if (m_mayHaveExecuted)
@@ -553,7 +541,6 @@
 {
     if (m_isFinished)
         return;
-    m_exchange.reset();
     if (m_isSending)
         endSend(SendOutcome::Abandoned);
     m_state.metrics.add(Counter::RunsCancelled);
@@ -563,6 +550,7 @@
 void GatewayRequest::endSend(SendOutcome outcome)
 {
     m_isSending = false;
+    m_exchange.reset();
     m_overdueTimer.clear();
     m_state.loads.finished(m_endpoint, m_sendNumber, outcome, MonotonicClock::now());
 }
@@ -571,7 +559,6 @@
 {
     if (m_isFinished)
         return;
-    m_exchange.reset();
     const bool isNotExecuted = statusMeansNotExecuted(refusal.status);
     if (isNotExecuted && m_chargedUnits > 0)
         m_state.rates.refund(m_workspace->id, m_chargedUnits, MonotonicClock::now());
@@ -595,7 +582,7 @@
 void GatewayRequest::finish(std::string_view outcome, int status)
 {
     m_isFinished = true;
-    leaveQueue();
+    m_queueTicket.release();
     m_deadlineTimer.clear();
     m_overdueTimer.clear();
     m_callerTimer.clear();
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -42,7 +42,6 @@
     /// Sends the request to an endpoint that has capacity. Returns false if the request has to wait.
     bool trySend();
     void waitForCapacity();
-    void leaveQueue();
     void send(const EndpointEntry& endpoint, const Placement& placement);
     void logPlacement(const Placement& placement, MonotonicTime now) const;
     void logResend(const EndpointId& previousEndpoint);
@@ -71,6 +70,7 @@
     void onPossiblyExecuted(std::string_view reason);
     bool tryAcquireRetry();
 
+    /// Ends the exchange with the endpoint, which can deliver nothing more of its response.
     void endSend(SendOutcome outcome);
     void refuse(const Refusal& refusal);
     void refuseForCapacity(std::chrono::milliseconds wait);
@@ -98,7 +98,7 @@
     bool m_hasBegunResponse = false;
     bool m_isFinished = false;
 
-    std::optional<PromptQueue::Number> m_queueNumber; ///< set while the request waits for capacity
+    PromptQueueDispatcher::Ticket m_queueTicket; ///< held while the request waits for capacity
     EndpointId m_endpoint;
     std::uint64_t m_sendNumber = 0;
     MonotonicTime m_sentAt {};
--- a/src/hornbeamgate/runtime/gateway/prompt_queue_dispatcher.cpp
+++ b/src/hornbeamgate/runtime/gateway/prompt_queue_dispatcher.cpp
@@ -12,12 +12,24 @@
 
 } // namespace
 
+void PromptQueueDispatcher::Ticket::dispatch()
+{
+    if (auto* dispatcher = std::exchange(m_dispatcher, nullptr))
+        dispatcher->dispatch(m_number);
+}
+
+void PromptQueueDispatcher::Ticket::release()
+{
+    if (auto* dispatcher = std::exchange(m_dispatcher, nullptr))
+        dispatcher->remove(m_number);
+}
+
 PromptQueueDispatcher::PromptQueueDispatcher()
     : m_timer([this] { retryQueued(); })
 {
 }
 
-PromptQueue::Number PromptQueueDispatcher::add(MonotonicTime deadline, Waiter waiter)
+PromptQueueDispatcher::Ticket PromptQueueDispatcher::add(MonotonicTime deadline, Waiter waiter)
 {
     const auto now = MonotonicClock::now();
     if (m_waiters.empty())
@@ -25,13 +37,13 @@
     const auto number = ++m_lastNumber;
     m_queue.add(number, deadline, now);
     m_waiters.emplace(number, std::move(waiter));
-    return number;
+    return { *this, number };
 }
 
 void PromptQueueDispatcher::dispatch(PromptQueue::Number number)
 {
-    m_queue.dispatch(number, MonotonicClock::now());
-    m_waiters.erase(number);
+    if (m_waiters.erase(number) > 0)
+        m_queue.dispatch(number, MonotonicClock::now());
 }
 
 void PromptQueueDispatcher::remove(PromptQueue::Number number)
--- a/src/hornbeamgate/runtime/gateway/prompt_queue_dispatcher.hpp
+++ b/src/hornbeamgate/runtime/gateway/prompt_queue_dispatcher.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <utility>
 
 namespace hornbeamgate::gateway {
 
@@ -16,19 +17,55 @@
         std::function<void()> refuse; ///< called when the request can no longer be completed in time
     };
 
+    /// Place of a waiter in the queue. Destroying it removes the waiter, so that no callback outlives its request.
+    class Ticket {
+    public:
+        Ticket() = default;
+        ~Ticket() { release(); }
+        Ticket(Ticket&& other) noexcept
+            : m_dispatcher(std::exchange(other.m_dispatcher, nullptr))
+            , m_number(other.m_number)
+        {
+        }
+        Ticket& operator=(Ticket&& other) noexcept
+        {
+            std::swap(m_dispatcher, other.m_dispatcher);
+            std::swap(m_number, other.m_number);
+            other.release();
+            return *this;
+        }
+        Ticket(const Ticket&) = delete;
+        Ticket& operator=(const Ticket&) = delete;
+
+        /// Leaves the queue because an engine had capacity. No effect on a waiter that has left the queue.
+        void dispatch();
+        /// Leaves the queue for any other reason.
+        void release();
+
+    private:
+        friend PromptQueueDispatcher;
+        Ticket(PromptQueueDispatcher& dispatcher, PromptQueue::Number number)
+            : m_dispatcher(&dispatcher)
+            , m_number(number)
+        {
+        }
+
+        PromptQueueDispatcher* m_dispatcher = nullptr; ///< null if the ticket holds no place
+        PromptQueue::Number m_number = 0;
+    };
+
     PromptQueueDispatcher();
 
     /// Returns the expected wait of a newly added request.
     Duration expectedWait() const { return m_queue.expectedWait(MonotonicClock::now()); }
-    PromptQueue::Number add(MonotonicTime deadline, Waiter waiter);
-    /// Removes a request that an engine had capacity for.
-    void dispatch(PromptQueue::Number number);
-    void remove(PromptQueue::Number number);
+    [[nodiscard]] Ticket add(MonotonicTime deadline, Waiter waiter);
     std::size_t size() const { return m_queue.size(); }
     /// Refuses all queued requests, because the daemon shuts down.
     void refuseAll();
 
 private:
+    void dispatch(PromptQueue::Number number);
+    void remove(PromptQueue::Number number);
     /// Refuses requests that can no longer be answered in time, then retries others by deadline until too many fail.
     void retryQueued();
     /// Removes the waiter and calls its `refuse` callback, which may remove other waiters.
--- a/tests/net/scripted_server.hpp
+++ b/tests/net/scripted_server.hpp
@@ -25,6 +25,17 @@
     std::size_t connections() const { return m_streams.size(); }
     const std::string& received(std::size_t connection) const { return *m_received.at(connection); }
 
+    /// Returns how often `text` has been received on all connections together.
+    std::size_t countReceived(const std::string& text) const
+    {
+        std::size_t count = 0;
+        for (const auto& received : m_received) {
+            for (auto at = received->find(text); at != std::string::npos; at = received->find(text, at + text.size()))
+                ++count;
+        }
+        return count;
+    }
+
     /// Waits until `text` has been received on the connection.
     void waitFor(std::size_t connection, const std::string& text)
     {
--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -9,6 +9,7 @@
 using namespace hornbeamgate;
 using namespace hornbeamgate::gateway;
 using namespace hornbeamgate::gateway::testing;
+using hornbeamgate::testing::runFor;
 using hornbeamgate::testing::runUntil;
 using namespace std::chrono_literals;
 
@@ -414,6 +415,55 @@
     CHECK(left.state.sendCount == 0);
 }
 
+TEST_CASE("a request runs once after a queued request whose response was given up twice has ended [request]")
+{
+    // The second end of one send queued the request again. The forgotten queue entry outlived its request and later sent the
+    // request that had taken its place in memory.
+    GatewayFixture fixture;
+    fixture.addEndpoint("e2", fixture.second.address());
+    fixture.state.loads.pauseUntil(EndpointId("e2"), MonotonicClock::now() + 1h);
+    fixture.request("/stream/a", "Authorization: Bearer key\r\nX-Hornbeamgate-Prompt-Prefix: a:13000,b:3700\r\n");
+    fixture.first.waitFor(0, "hi");
+    fixture.state.loads.sent(EndpointId("e2"), 100, 40'000, MonotonicClock::now());
+    fixture.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1) + event(3)));
+    REQUIRE(runUntil([&] { return fixture.state.waiting.size() == 1; }));
+    fixture.first.send(0, chunkText(event(9)));
+    runFor(100ms);
+    CHECK(fixture.state.waiting.size() == 1);
+    CHECK(fixture.first.hasEnded(0));
+    fixture.caller.reset();
+    runFor(100ms);
+    CHECK(fixture.state.waiting.size() == 0);
+    fixture.request("/booking/a");
+    fixture.state.loads.answerBegan(EndpointId("e2"), 100);
+    runFor(300ms);
+    CHECK(fixture.first.countReceived("POST /booking/a") + fixture.second.countReceived("POST /booking/a") == 1);
+}
+
+TEST_CASE("a queued request whose engine connection failed twice is sent to no more endpoints than its route allows [request]")
+{
+    const std::string longPrompt = "Authorization: Bearer key\r\nX-Hornbeamgate-Prompt-Prefix: a:13000,b:3700\r\n";
+    GatewayFixture fixture;
+    ScriptedServer third;
+    fixture.addEndpoint("e2", fixture.second.address());
+    fixture.addEndpoint("e3", third.address());
+    fixture.state.loads.pauseUntil(EndpointId("e2"), MonotonicClock::now() + 1h);
+    fixture.state.loads.pauseUntil(EndpointId("e3"), MonotonicClock::now() + 1h);
+    fixture.request("/stream/a", longPrompt);
+    fixture.first.waitFor(0, "hi");
+    fixture.state.loads.sent(EndpointId("e2"), 100, 40'000, MonotonicClock::now());
+    fixture.state.loads.sent(EndpointId("e3"), 101, 40'000, MonotonicClock::now());
+    fixture.first.send(0, "no response of this protocol\r\n\r\n");
+    REQUIRE(runUntil([&] { return fixture.state.waiting.size() > 0; }));
+    fixture.first.drop(0);
+    runFor(100ms);
+    fixture.state.loads.answerBegan(EndpointId("e2"), 100);
+    fixture.state.loads.answerBegan(EndpointId("e3"), 101);
+    runFor(300ms);
+    CHECK(fixture.second.countReceived("POST /stream/a") + third.countReceived("POST /stream/a") == 1);
+    CHECK(fixture.state.sendCount == 2);
+}
+
 TEST_CASE("an interrupted stream resumes without waiting for prompt capacity [request]")
 {
     GatewayFixture fixture;
