Withhold requests with prompt parts under which engines crash

The gateway feeds its lost and answered runs to PromptQuarantine, shares its observations in the reports to the other gateways, and refuses what it withholds at once: 503 with the time until the end of the quarantine, 502 if the request may have run.

The request test fails without the check in trySend: the fourth request reaches the sound engine.

--- a/src/hornbeamgate/gateway/peer_report.cpp
+++ b/src/hornbeamgate/gateway/peer_report.cpp
@@ -6,6 +6,48 @@
 
 using nlohmann::json;
 
+namespace {
+
+    using std::chrono::milliseconds;
+
+    json encodeQuarantine(const QuarantineReport& report)
+    {
+        json losses = json::array();
+        for (const auto& loss : report.losses)
+            losses.push_back(json::array({ loss.run, loss.engine, loss.parts, loss.hasBegun, loss.sentAge.count(), loss.lostAge.count() }));
+        json answered = json::array();
+        for (const auto& part : report.answered)
+            answered.push_back(json::array({ part.part, part.age.count() }));
+        json survivors = json::array();
+        for (const auto& engine : report.survivors)
+            survivors.push_back(json::array({ engine.engine, engine.sentAge.count(), engine.answeredAge.count() }));
+        json quarantined = json::array();
+        for (const auto& part : report.quarantined)
+            quarantined.push_back(json::array({ part.parts, part.remaining.count(), part.lostAge.count(), part.strikes }));
+        return json::array({ std::move(losses), std::move(answered), std::move(survivors), std::move(quarantined) });
+    }
+
+    milliseconds duration(const json& value)
+    {
+        return milliseconds(value.get<std::int64_t>());
+    }
+
+    QuarantineReport decodeQuarantine(const json& value)
+    {
+        QuarantineReport report;
+        for (const auto& item : value.at(0))
+            report.losses.push_back({ item.at(0).get<RunKey>(), item.at(1).get<EngineKey>(), item.at(2).get<std::vector<PartKey>>(), item.at(3).get<bool>(), duration(item.at(4)), duration(item.at(5)) });
+        for (const auto& item : value.at(1))
+            report.answered.push_back({ item.at(0).get<PartKey>(), duration(item.at(1)) });
+        for (const auto& item : value.at(2))
+            report.survivors.push_back({ item.at(0).get<EngineKey>(), duration(item.at(1)), duration(item.at(2)) });
+        for (const auto& item : value.at(3))
+            report.quarantined.push_back({ item.at(0).get<std::set<PartKey>>(), duration(item.at(1)), duration(item.at(2)), item.at(3).get<int>() });
+        return report;
+    }
+
+} // namespace
+
 Bytes encodePeerReport(const PeerReport& report)
 {
     json ends = json::array();
@@ -34,13 +76,15 @@
         blockUses.push_back(json::array({ blockUse.endpoint.value(), blockUse.blocks, blockUse.age.count() }));
     return toCbor(json::array({ report.host.value(), report.incarnation.value(), std::move(ends), std::move(drawn), std::move(loading),
         report.address.ip, report.address.port, std::move(loaded), std::move(pendingPrefills), report.leadership.isLeader, report.leadership.resignations, report.isLeaving, json::array(), std::move(blockUses),
-        report.leadership.generation.value(), report.leadership.resignedGeneration.value(), std::move(targetAges), std::move(orderAges), report.isAskingForOrderAges }));
+        report.leadership.generation.value(), report.leadership.resignedGeneration.value(), std::move(targetAges), std::move(orderAges), report.isAskingForOrderAges, encodeQuarantine(report.quarantine) }));
 }
 
 Result<PeerReport, CodecError> decodePeerReport(BytesView encoded)
 {
     /// Reports of daemons that do not number their leaderships end here.
     constexpr std::size_t kFieldsWithoutGenerations = 14;
+    /// Reports of daemons that do not quarantine prompts end here.
+    constexpr std::size_t kFieldsWithoutQuarantine = 19;
     const auto value = fromCbor(encoded);
     if (!value)
         return failure(value.error());
@@ -74,6 +118,8 @@
         for (const auto& item : value->at(17))
             report.orderAges.push_back({ EndpointId(item.at(0).get<std::string>()), LogOffset(item.at(1).get<std::uint64_t>()), std::chrono::milliseconds(item.at(2).get<std::int64_t>()) });
         report.isAskingForOrderAges = value->at(18).get<bool>();
+        if (value->size() > kFieldsWithoutQuarantine)
+            report.quarantine = decodeQuarantine(value->at(19));
         return report;
     } catch (const json::exception& error) {
         return failure(CodecError { error.what() });
--- a/src/hornbeamgate/gateway/peer_report.hpp
+++ b/src/hornbeamgate/gateway/peer_report.hpp
@@ -4,6 +4,7 @@
 #include "hornbeamgate/base/socket_address.hpp"
 #include "hornbeamgate/gateway/block_directory.hpp"
 #include "hornbeamgate/gateway/directory_replica.hpp"
+#include "hornbeamgate/gateway/prompt_quarantine.hpp"
 #include "hornbeamgate/gateway/rollout_election.hpp"
 #include "hornbeamgate/gateway/weights_rollout.hpp"
 #include "hornbeamgate/gateway/workspace_rate_limiter.hpp"
@@ -41,6 +42,7 @@
     std::vector<LoadedWeights> loaded;
     std::vector<BlockUse> blockUses; ///< recent sends of shared prompts
     std::map<EndpointId, std::int64_t> pendingPrefillTokens; ///< prompt tokens sent to engines that still wait for prefill
+    QuarantineReport quarantine;
 };
 
 Bytes encodePeerReport(const PeerReport& report);
--- a/src/hornbeamgate/observability/log.hpp
+++ b/src/hornbeamgate/observability/log.hpp
@@ -22,6 +22,7 @@
     RequestRefused,
     RequestPlaced,
     RequestResent,
+    QuarantineChanged,
     RunFinished,
     RunFailed,
     LinkOpened,
--- a/src/hornbeamgate/observability/metrics.hpp
+++ b/src/hornbeamgate/observability/metrics.hpp
@@ -14,6 +14,7 @@
     RequestsCompleted,
     RequestsRefused,
     RequestsFailed,
+    RequestsQuarantined,
     StreamPieces,
     RunsResumed,
     RunsRetried,
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -2,6 +2,7 @@
 
 #include "hornbeamgate/base/hash.hpp"
 #include "hornbeamgate/observability/log.hpp"
+#include "hornbeamgate/runtime/gateway/quarantine_log.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -114,6 +115,8 @@
     m_deadline = m_message.headArrived + timeLeft;
     m_service = RouteTable::chooseService(*m_route, stableHash(m_metadata.requestId));
     m_relay = EventRelay(m_metadata.lastEventId);
+    for (std::size_t i = 0; i + 1 < m_metadata.prompt.size(); ++i)
+        m_sharedParts.push_back(partKey(m_metadata.prompt[i].id));
     return true;
 }
 
@@ -182,6 +185,8 @@
 bool GatewayRequest::trySend()
 {
     const auto now = MonotonicClock::now();
+    if (refuseQuarantined(now))
+        return true;
     const auto placement = m_state.placer.choose(makePlacementRequest(now), { m_state.registry, m_state.loads, m_state.blocks }, now);
     const auto* endpoint = placement.endpoint ? m_state.registry.find(*placement.endpoint) : nullptr;
     // An interrupted stream is resumed without waiting for capacity, since its caller is waiting for the next event.
@@ -196,6 +201,16 @@
     return true;
 }
 
+bool GatewayRequest::refuseQuarantined(MonotonicTime now)
+{
+    const auto until = m_state.quarantine.withheldUntil(m_sharedParts, now);
+    if (!until)
+        return false;
+    m_state.metrics.add(Counter::RequestsQuarantined);
+    refuse({ m_mayHaveExecuted ? kBadGateway : kUnavailable, "engines crash under a part of the prompt", std::chrono::ceil<milliseconds>(*until - now) });
+    return true;
+}
+
 void GatewayRequest::refuseUnplaced(const Placement& placement)
 {
     if (m_mayHaveExecuted) {
@@ -262,6 +277,8 @@
     m_sendNumber = ++m_state.sendCount;
     m_sentAt = now;
     m_isSending = true;
+    m_hasRunBegun = false;
+    m_engine = engineKey(endpoint.id, endpoint.incarnation);
     ++m_sendCount;
     m_responseHead.reset();
     m_responseBody.clear();
@@ -357,6 +374,8 @@
         return;
     m_overdueTimer.clear();
     m_state.loads.answerBegan(m_endpoint, m_sendNumber);
+    if (!m_hasRunBegun)
+        recordAnswer(MonotonicClock::now());
     if (!m_hasBegunResponse) {
         m_timeToFirstPiece = MonotonicClock::now() - m_message.headArrived;
         m_state.metrics.observe(Latency::TimeToFirstPiece, *m_timeToFirstPiece);
@@ -394,8 +413,17 @@
     m_caller.beginResponse(m_responseHead->status, std::move(fields));
 }
 
+void GatewayRequest::recordAnswer(MonotonicTime now)
+{
+    m_hasRunBegun = true;
+    logQuarantineChanges(m_state.quarantine.runAnswered(m_sharedParts, now));
+    m_state.quarantine.engineAnswered(m_engine, m_sentAt, now);
+}
+
 void GatewayRequest::onComplete()
 {
+    if (!m_responseMetadata.isNotExecuted)
+        recordAnswer(MonotonicClock::now());
     if (m_responseMode == ResponseMode::Buffered) {
         handleBufferedResponse();
         return;
@@ -469,6 +497,8 @@
 {
     const auto now = MonotonicClock::now();
     if (failure != ExchangeFailure::NotSent) {
+        if (!m_hasRunBegun && failure != ExchangeFailure::MalformedAnswer)
+            logQuarantineChanges(m_state.quarantine.runLost({ runKey(m_metadata.requestId, m_sendCount), m_engine, m_sharedParts, m_responseHead.has_value(), m_sentAt, now }));
         endSend(SendOutcome::Failed);
         onPossiblyExecuted(reason);
         return;
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -41,6 +41,8 @@
     void resend(std::string_view cause);
     /// Sends the request to an endpoint that has capacity. Returns false if the request has to wait.
     bool trySend();
+    /// Refuses the request if it has a prompt part under which engines crash.
+    bool refuseQuarantined(MonotonicTime now);
     void waitForCapacity();
     void send(const EndpointEntry& endpoint, const Placement& placement);
     void logPlacement(const Placement& placement, MonotonicTime now) const;
@@ -58,6 +60,8 @@
     void onBody(std::string_view bytes);
     void onComplete();
     void onFailed(ExchangeFailure failure, const std::string& reason);
+    /// Records that the engine has begun or completed its answer.
+    void recordAnswer(MonotonicTime now);
     void onDeadline();
     void onOverdue();
     void pauseReadingIfBacklogged();
@@ -87,6 +91,7 @@
     const RouteRule* m_route = nullptr;
     const WorkspaceRule* m_workspace = nullptr;
     ServiceId m_service;
+    std::vector<PartKey> m_sharedParts; ///< of the prompt, without the last part, which belongs to this request
     std::int64_t m_chargedUnits = 0; ///< deducted from the workspace's rate
     MonotonicTime m_deadline {};
 
@@ -100,9 +105,11 @@
 
     PromptQueueDispatcher::Ticket m_queueTicket; ///< held while the request waits for capacity
     EndpointId m_endpoint;
+    EngineKey m_engine = 0;
     std::uint64_t m_sendNumber = 0;
     MonotonicTime m_sentAt {};
     bool m_isSending = false;
+    bool m_hasRunBegun = false; ///< the endpoint has answered the current send with an event or a complete response
     std::optional<Duration> m_timeToFirstPiece; ///< measured from the arrival of the request
     std::optional<WeightsVersion> m_requiredWeights;
     std::unique_ptr<HttpExchange> m_exchange;
--- a/src/hornbeamgate/runtime/gateway/gateway_state.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_state.hpp
@@ -4,6 +4,7 @@
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
 #include "hornbeamgate/gateway/peer_table.hpp"
 #include "hornbeamgate/gateway/placement.hpp"
+#include "hornbeamgate/gateway/prompt_quarantine.hpp"
 #include "hornbeamgate/gateway/route_table.hpp"
 #include "hornbeamgate/gateway/service_retry_budget.hpp"
 #include "hornbeamgate/gateway/weights_rollout.hpp"
@@ -42,6 +43,7 @@
     BlockDirectory blocks;
     Placer placer;
     PromptQueueDispatcher waiting;
+    PromptQuarantine quarantine;
     WorkspaceRateLimiter rates;
     PeerTable peers;
     WeightsRollout weightsRollout;
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -1,6 +1,7 @@
 #include "hornbeamgate/runtime/gateway/peer_task.hpp"
 
 #include "hornbeamgate/observability/log.hpp"
+#include "hornbeamgate/runtime/gateway/quarantine_log.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -20,8 +21,8 @@
     constexpr milliseconds kMaxReportInterval { 1000 };
     /// How long completed weight loads are reported, since individual reports may be lost.
     constexpr milliseconds kLoadedReportDuration { 1500 };
-    /// Number of reports that include each use of a shared prompt, since individual reports may be lost.
-    constexpr int kBlockUseReports = 3;
+    /// Number of reports that include each observation, since individual reports may be lost.
+    constexpr int kReportsPerObservation = 3;
     constexpr milliseconds kFetchTimeout { 1000 };
     constexpr std::string_view kRecordsPath = "/records/";
     constexpr int kNotFound = 404;
@@ -100,7 +101,9 @@
     std::erase_if(m_loaded, [now](const auto& entry) { return entry.second <= now; });
     for (const auto& [weights, end] : m_loaded)
         report.loaded.push_back(weights);
-    report.blockUses = m_state.blocks.recentLocalUses(now - kBlockUseReports * reportInterval(), now);
+    const auto observedSince = now - kReportsPerObservation * reportInterval();
+    report.blockUses = m_state.blocks.recentLocalUses(observedSince, now);
+    report.quarantine = m_state.quarantine.report(observedSince, now);
     report.pendingPrefillTokens = m_state.loads.localPendingPrefillTokens();
     return report;
 }
@@ -158,6 +161,7 @@
         applyLoaded(weights);
     m_state.blocks.recordPeerUses(report->blockUses, now);
     m_state.loads.setPeerPendingPrefillTokens(report->host, report->pendingPrefillTokens, now);
+    logQuarantineChanges(m_state.quarantine.recordPeerReport(report->quarantine, now));
     fetchNewerRecords(*report);
 }
 
--- a/tests/gateway/peer_report.test.cpp
+++ b/tests/gateway/peer_report.test.cpp
@@ -23,6 +23,10 @@
     report.targetAges.push_back({ ModelId("m"), WeightsVersion(5), 700ms });
     report.isLeaving = true;
     report.blockUses.push_back({ EndpointId("g"), 0xfedcba9876543210, 250ms });
+    report.quarantine.losses.push_back({ 1, 0xfedcba9876543210, { 3, 4 }, true, 900ms, 300ms });
+    report.quarantine.answered.push_back({ 5, 20ms });
+    report.quarantine.survivors.push_back({ 6, 1100ms, 30ms });
+    report.quarantine.quarantined.push_back({ { 7, 8 }, 110s, 40ms, 2 });
     const auto decoded = decodePeerReport(encodePeerReport(report));
     REQUIRE(decoded);
     CHECK(decoded->host == report.host);
@@ -44,6 +48,25 @@
     CHECK(decoded->blockUses.front().endpoint == EndpointId("g"));
     CHECK(decoded->blockUses.front().blocks == 0xfedcba9876543210);
     CHECK(decoded->blockUses.front().age == 250ms);
+    REQUIRE(decoded->quarantine.losses.size() == 1);
+    CHECK(decoded->quarantine.losses[0].run == 1);
+    CHECK(decoded->quarantine.losses[0].engine == 0xfedcba9876543210);
+    CHECK(decoded->quarantine.losses[0].parts == std::vector<PartKey> { 3, 4 });
+    CHECK(decoded->quarantine.losses[0].hasBegun);
+    CHECK(decoded->quarantine.losses[0].sentAge == 900ms);
+    CHECK(decoded->quarantine.losses[0].lostAge == 300ms);
+    REQUIRE(decoded->quarantine.answered.size() == 1);
+    CHECK(decoded->quarantine.answered[0].part == 5);
+    CHECK(decoded->quarantine.answered[0].age == 20ms);
+    REQUIRE(decoded->quarantine.survivors.size() == 1);
+    CHECK(decoded->quarantine.survivors[0].engine == 6);
+    CHECK(decoded->quarantine.survivors[0].sentAge == 1100ms);
+    CHECK(decoded->quarantine.survivors[0].answeredAge == 30ms);
+    REQUIRE(decoded->quarantine.quarantined.size() == 1);
+    CHECK(decoded->quarantine.quarantined[0].parts == std::set<PartKey> { 7, 8 });
+    CHECK(decoded->quarantine.quarantined[0].remaining == 110s);
+    CHECK(decoded->quarantine.quarantined[0].lostAge == 40ms);
+    CHECK(decoded->quarantine.quarantined[0].strikes == 2);
 }
 
 TEST_CASE("withdrawn records and binary values are unchanged after encoding and decoding [peers]")
--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -464,6 +464,35 @@
     CHECK(fixture.state.sendCount == 2);
 }
 
+TEST_CASE("requests with a prompt part under which engines crash are refused unsent after three crashes [request]")
+{
+    const std::string key = "Authorization: Bearer key\r\n";
+    const std::string deadlyPrompt = key + "X-Hornbeamgate-Prompt-Prefix: a:90,d:165,";
+    GatewayFixture fixture;
+    REQUIRE(fixture.state.registry.withdraw(EndpointId("e1"), MonotonicClock::now()));
+    std::vector<std::unique_ptr<ScriptedServer>> engines;
+    for (int i = 0; i < 3; ++i) {
+        engines.push_back(std::make_unique<ScriptedServer>());
+        fixture.addEndpoint("crashing-" + std::to_string(i), engines.back()->address());
+        fixture.request("/once/a", deadlyPrompt + "own-" + std::to_string(i) + ":70\r\n");
+        engines.back()->waitFor(0, "hi");
+        engines.back()->send(0, head(200, std::string(kSigned) + kChunked));
+        engines.back()->finish(0);
+        fixture.waitFor("HTTP/1.1 502");
+        REQUIRE(fixture.state.registry.withdraw(EndpointId("crashing-" + std::to_string(i)), MonotonicClock::now()));
+    }
+    fixture.addEndpoint("sound", fixture.second.address());
+    fixture.request("/once/a", deadlyPrompt + "own-3:70\r\n");
+    fixture.waitFor("HTTP/1.1 503");
+    CHECK(fixture.has("Retry-After: "));
+    CHECK(fixture.second.connections() == 0);
+    CHECK(fixture.state.metrics.value(Counter::RequestsQuarantined) == 1);
+    fixture.request("/once/a", key + "X-Hornbeamgate-Prompt-Prefix: a:90,own-4:70\r\n");
+    fixture.second.waitFor(0, "hi");
+    fixture.second.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1)) + std::string(kLastChunk));
+    fixture.waitFor("\r\n0\r\n\r\n");
+}
+
 TEST_CASE("an interrupted stream resumes without waiting for prompt capacity [request]")
 {
     GatewayFixture fixture;
