Test responses and streams that end with their connection

The users' rule is new: a response, a stream too, may have neither a length nor chunks and end with its connection.

Gateway: such a stream is relayed event by event and complete at an orderly close; reset, it is resumed after its last complete event. A plain response that is reset is 502, or aborted if it has begun. A stream without an incomplete event is complete, also without any event; an error response of a streaming route stays as it is.

The test of HttpExchange had a case for a reset that neither reset the connection (the scripted server had read everything, so dropping it was an orderly close) nor checked the result. ScriptedServer can now leave data unread, and the case checks.

--- a/tests/net/http_exchange.test.cpp
+++ b/tests/net/http_exchange.test.cpp
@@ -149,22 +149,23 @@
     for (const auto& example : cases) {
         CAPTURE(example.octets);
         ScriptedServer server;
+        if (example.isReset)
+            server.pauseReading();
         HttpConnectionPool pool;
         ExchangeRecorder recorder(pool, server.address(), "one");
-        server.waitFor(0, "/one");
+        if (example.isReset)
+            server.waitForUnreadData(0);
+        else
+            server.waitFor(0, "/one");
         server.send(0, example.octets);
         if (example.isReset) {
             REQUIRE(runUntil([&] { return !recorder.body.empty(); }));
-            // Closing a socket with unread data resets the connection.
-            recorder.exchange->pauseReading(false);
-        }
-        if (example.isReset)
             server.drop(0);
-        else
+        } else
             server.finish(0);
         recorder.waitForEnd();
-        if (!example.isReset)
-            CHECK(recorder.failure == example.failure);
+        CHECK(recorder.failure == example.failure);
+        CHECK_FALSE(recorder.isComplete);
     }
 }
 
--- a/tests/net/scripted_server.hpp
+++ b/tests/net/scripted_server.hpp
@@ -47,6 +47,15 @@
     void finish(std::size_t connection) { m_streams.at(connection)->finishSending(); }
     /// Closes the socket, which resets the connection if there is unread data.
     void drop(std::size_t connection) { m_streams.at(connection).reset(); }
+    /// Leaves the data of later connections unread, so that drop() resets them.
+    void pauseReading() { m_isReadingPaused = true; }
+    void waitForUnreadData(std::size_t connection)
+    {
+        // Arriving data does not wake the main loop while reading is paused.
+        Timer poll([&] { poll.set(MonotonicClock::now() + std::chrono::milliseconds(5)); });
+        poll.set(MonotonicClock::now());
+        REQUIRE(hornbeamgate::testing::runUntil([&] { return m_streams.size() > connection && !m_streams[connection]->hasNoInput(); }));
+    }
     std::size_t unsent(std::size_t connection) const { return m_streams.at(connection)->unsent(); }
     bool hasEnded(std::size_t connection) const { return *m_ended.at(connection); }
 
@@ -56,11 +65,13 @@
         auto received = std::make_shared<std::string>();
         auto ended = std::make_shared<bool>(false);
         stream->setHandlers({ {}, [received](std::string_view octets) { *received += octets; }, [ended](StreamEnd, const std::string&) { *ended = true; } });
+        stream->pauseReading(m_isReadingPaused);
         m_received.push_back(received);
         m_ended.push_back(ended);
         m_streams.push_back(std::move(stream));
     }
 
+    bool m_isReadingPaused = false;
     std::unique_ptr<TcpListener> m_listener;
     std::vector<std::unique_ptr<TcpStream>> m_streams;
     std::vector<std::shared_ptr<std::string>> m_received;
--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -79,6 +79,13 @@
         state.registry.put(entry);
     }
 
+    /// Adds the second endpoint, which is used only after the first one.
+    void addFallback()
+    {
+        addEndpoint("e2", second.address());
+        state.loads.pauseUntil(EndpointId("e2"), MonotonicClock::now() + 1h);
+    }
+
     void request(const std::string& target, const std::string& extra = "Authorization: Bearer key\r\n")
     {
         auto connected = TcpStream::connect(gateway->address(), MonotonicClock::now() + 5s);
@@ -124,6 +131,7 @@
 constexpr const char* kSigned = "X-Hornbeamgate-Server-Signature: sig\r\n";
 constexpr const char* kNotExecuted = "X-Hornbeamgate-Not-Executed: 1\r\n";
 constexpr const char* kChunked = "Transfer-Encoding: chunked\r\n\r\n";
+constexpr const char* kUnframed = "Content-Type: text/event-stream\r\n\r\n";
 constexpr const char* kEmpty = "Content-Length: 0\r\n\r\n";
 
 std::string event(int id)
@@ -351,6 +359,113 @@
     refused.waitFor("HTTP/1.1 502");
 }
 
+TEST_CASE("a stream with neither a length nor chunks is relayed event by event and complete at an orderly close [request]")
+{
+    for (const std::string target : { "/stream/a", "/once/a" }) {
+        CAPTURE(target);
+        GatewayFixture fixture;
+        fixture.addFallback();
+        fixture.request(target);
+        fixture.first.waitFor(0, "hi");
+        fixture.first.send(0, head(200, std::string(kSigned) + kUnframed) + event(1) + "id: 2\n");
+        fixture.waitFor(event(1));
+        CHECK_FALSE(fixture.has("id: 2"));
+        fixture.first.send(0, "data: p\n\n");
+        fixture.waitFor(event(2));
+        CHECK_FALSE(fixture.has("\r\n0\r\n\r\n"));
+        fixture.first.finish(0);
+        fixture.waitFor("\r\n0\r\n\r\n");
+        CHECK(fixture.second.connections() == 0);
+    }
+}
+
+TEST_CASE("a stream without an incomplete event is complete, also without any event [request]")
+{
+    for (const bool isChunked : { false, true }) {
+        for (const std::string bytes : { "", "\r", "\n", "\r\n", "data: p\n\n\n", "data: p\r\n\r\n\r", ": nothing yet\n\n" }) {
+            CAPTURE(isChunked);
+            CAPTURE(bytes);
+            GatewayFixture fixture;
+            fixture.addFallback();
+            fixture.request("/stream/a");
+            fixture.first.waitFor(0, "hi");
+            fixture.first.send(0, head(200, std::string(kSigned) + (isChunked ? kChunked + chunkText(bytes) + std::string(kLastChunk) : kUnframed + bytes)));
+            fixture.first.finish(0);
+            fixture.waitFor("0\r\n\r\n");
+            CHECK(fixture.has("HTTP/1.1 200 "));
+            CHECK(fixture.second.connections() == 0);
+        }
+    }
+}
+
+TEST_CASE("an error response of a streaming route is returned as it is, however its body ends [request]")
+{
+    GatewayFixture fixture;
+    fixture.addFallback();
+    fixture.request("/stream/a");
+    fixture.first.waitFor(0, "hi");
+    fixture.first.send(0, head(404, std::string(kSigned) + "\r\n") + "data: no such model");
+    fixture.first.finish(0);
+    fixture.waitFor("\r\n\r\ndata: no such model");
+    CHECK(fixture.has("HTTP/1.1 404 "));
+    CHECK(fixture.second.connections() == 0);
+}
+
+TEST_CASE("a reset stream without a length is resumed after the last complete event [request]")
+{
+    for (const std::string rest : { "", "id: 2\ndata: p\n" }) {
+        CAPTURE(rest);
+        GatewayFixture fixture;
+        fixture.addFallback();
+        fixture.first.pauseReading();
+        fixture.request("/stream/a");
+        fixture.first.waitForUnreadData(0);
+        fixture.first.send(0, head(200, std::string(kSigned) + kUnframed) + event(1) + rest);
+        fixture.waitFor(event(1));
+        fixture.first.drop(0);
+        fixture.second.waitFor(0, "Last-Event-Id: 1\r\n");
+        CHECK_FALSE(fixture.has("\r\n0\r\n"));
+        fixture.second.send(0, head(200, std::string(kSigned) + kUnframed) + event(2));
+        fixture.second.finish(0);
+        fixture.waitFor("\r\n0\r\n\r\n");
+        CHECK(fixture.received.find("id: 2") == fixture.received.rfind("id: 2"));
+    }
+}
+
+TEST_CASE("a reset response without a length is 502, and aborted if it has begun [request]")
+{
+    for (const bool isLarge : { false, true }) {
+        CAPTURE(isLarge);
+        GatewayFixture fixture;
+        fixture.first.pauseReading();
+        fixture.request("/booking/a");
+        fixture.first.waitForUnreadData(0);
+        const std::string body(isLarge ? 1048576 : 100, 'x');
+        fixture.first.send(0, head(200, std::string(kSigned) + "X-Hornbeamgate-Server-Load: 5,0,8\r\n\r\n") + body);
+        if (isLarge)
+            REQUIRE(runUntil([&] { return fixture.received.size() > body.size(); }));
+        else
+            // The gateway reads head and body together, as both are sent at once.
+            REQUIRE(runUntil([&] { return fixture.state.loads.load(EndpointId("e1"), MonotonicClock::now()) > 2; }));
+        fixture.first.drop(0);
+        REQUIRE(runUntil([&] { return fixture.hasEnded || fixture.has("HTTP/1.1 502"); }));
+        CHECK(fixture.has("HTTP/1.1 200 ") == isLarge);
+        CHECK_FALSE(fixture.has("\r\n0\r\n"));
+    }
+}
+
+TEST_CASE("a response with neither a length nor chunks is complete at an orderly close [request]")
+{
+    GatewayFixture fixture;
+    fixture.request("/booking/a");
+    fixture.first.waitFor(0, "hi");
+    fixture.first.send(0, head(201, std::string(kSigned) + "\r\n") + "all of it");
+    fixture.first.finish(0);
+    fixture.waitFor("\r\n\r\nall of it");
+    CHECK(fixture.has("HTTP/1.1 201 "));
+    CHECK(fixture.has("Content-Length: 9\r\n"));
+}
+
 TEST_CASE("an overdue stream moves to another engine only after being overtaken [request]")
 {
     GatewayFixture fixture;
