Resume a stream after the last event that was handed out

Cause: EventRelay::feed moved the last ID over each complete event, and then dropped these events if an event with a gap in its ID, or one that is too large, came with them in the same bytes. The next request asked for the events after the last ID.

Evidence, before: events 2, 3 and 5 in one piece after event 1.

a resumed stream does not skip events that came together with a gap [request] CHECK( lastEventId(fixture.second.received(0)) == "1" ) is NOT correct! values: CHECK( 3 == 1 ) events that were not handed out before a failure are not skipped by the next run [events] CHECK( relay.lastId() == 1 ) is NOT correct! assertions: 94 | 90 passed | 4 failed

A failing call returns nothing and now leaves the last ID as it was; the resumed run repeats the events that were dropped. A stream that may not be resumed is aborted, or 502 if nothing was sent, as before.

--- a/src/hornbeamgate/gateway/event_relay.cpp
+++ b/src/hornbeamgate/gateway/event_relay.cpp
@@ -52,6 +52,8 @@
     m_partial += bytes;
     std::string forwarded;
     std::size_t taken = 0;
+    // On a failure nothing is handed out, so m_lastId moves only with the events that are returned.
+    auto lastId = m_lastId;
     for (;;) {
         const auto rest = std::string_view(m_partial).substr(taken);
         const auto length = eventLength(rest);
@@ -60,20 +62,23 @@
         const auto event = rest.substr(0, length);
         taken += length;
         if (const auto id = eventId(event)) {
-            if (m_lastId && *id <= *m_lastId)
+            if (lastId && *id <= *lastId)
                 continue;
-            if (m_lastId && *id != *m_lastId + 1)
+            if (lastId && *id != *lastId + 1) {
+                m_partial.clear();
                 return std::nullopt;
-            m_lastId = id;
+            }
+            lastId = id;
         }
         forwarded += event;
-        m_hasForwardedEvents = true;
     }
     m_partial.erase(0, taken);
     if (m_partial.size() > kMaxEventBytes) {
         m_partial.clear();
         return std::nullopt;
     }
+    m_lastId = lastId;
+    m_hasForwardedEvents = m_hasForwardedEvents || !forwarded.empty();
     return forwarded;
 }
 
--- a/src/hornbeamgate/gateway/event_relay.hpp
+++ b/src/hornbeamgate/gateway/event_relay.hpp
@@ -22,7 +22,8 @@
     {
     }
 
-    /// Consumes the next bytes and returns the data to forward, or nullopt if an event is missing or too large.
+    /// Consumes the next bytes and returns the data to forward, or nullopt if an event is missing or too large. Then the
+    /// next run resumes after the events that earlier calls returned.
     std::optional<std::string> feed(std::string_view bytes);
 
     /// Returns the bytes after the last complete event, for a stream that ended normally.
--- a/tests/gateway/event_relay.test.cpp
+++ b/tests/gateway/event_relay.test.cpp
@@ -44,6 +44,19 @@
     CHECK_FALSE(relay.feed(event(15)));
 }
 
+TEST_CASE("events that were not handed out before a failure are not skipped by the next run [events]")
+{
+    for (const auto& broken : { event(5), "id: 4\ndata: " + std::string(EventRelay::kMaxEventBytes, 'x') }) {
+        EventRelay relay(std::nullopt);
+        REQUIRE(relay.feed(event(1)) == event(1));
+        CHECK_FALSE(relay.feed(event(2) + event(3) + broken));
+        CHECK(relay.lastId() == 1);
+        relay.startRun();
+        CHECK(relay.feed(event(2) + event(3) + event(4)) == event(2) + event(3) + event(4));
+        CHECK(relay.lastId() == 4);
+    }
+}
+
 TEST_CASE("bytes that never end an event are a failure, not a growing buffer [events]")
 {
     EventRelay relay(std::nullopt);
--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -139,6 +139,15 @@
     return "id: " + std::to_string(id) + "\ndata: p\n\n";
 }
 
+std::string lastEventId(const std::string& request)
+{
+    constexpr std::string_view kField = "\r\nLast-Event-Id: ";
+    const auto start = request.find(kField);
+    if (start == std::string::npos)
+        return {};
+    return request.substr(start + kField.size(), request.find('\r', start + kField.size()) - start - kField.size());
+}
+
 } // namespace
 
 TEST_CASE("a response is returned with its status, body and signature [request]")
@@ -359,6 +368,22 @@
     refused.waitFor("HTTP/1.1 502");
 }
 
+TEST_CASE("a resumed stream does not skip events that came together with a gap [request]")
+{
+    GatewayFixture fixture;
+    fixture.addFallback();
+    fixture.request("/stream/a");
+    fixture.first.waitFor(0, "hi");
+    fixture.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1)));
+    fixture.waitFor(event(1));
+    fixture.first.send(0, chunkText(event(2) + event(3) + event(5)));
+    fixture.second.waitFor(0, "hi");
+    CHECK(lastEventId(fixture.second.received(0)) == "1");
+    fixture.second.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(2) + event(3) + event(4)) + std::string(kLastChunk));
+    fixture.waitFor("\r\n0\r\n\r\n");
+    CHECK(fixture.has(event(2) + event(3) + event(4)));
+}
+
 TEST_CASE("a stream with neither a length nor chunks is relayed event by event and complete at an orderly close [request]")
 {
     for (const std::string target : { "/stream/a", "/once/a" }) {
