Treat a stream that ends inside an event as broken off

Callers got a part of an event and then the end of a complete response (MIXED, ORDER): from a stream with neither a length nor chunks whose connection was closed inside an event, and from a chunked stream that ended so.

Cause: at the end of the engine's response GatewayRequest forwarded what was left after the last complete event and finished the caller's response, without looking whether the rest was the beginning of an event.

Such an end is now handled like a broken connection: the stream is resumed after its last complete event where the route allows, else the response is aborted, or 502 if it has not begun. Line ends are no part of an event, so a stream that ends with them, or has no event at all, stays complete; so do buffered responses and responses to HEAD.

--- a/src/hornbeamgate/gateway/event_relay.cpp
+++ b/src/hornbeamgate/gateway/event_relay.cpp
@@ -82,6 +82,11 @@
     return forwarded;
 }
 
+bool EventRelay::isInsideEvent() const
+{
+    return m_partial.find_first_not_of("\r\n") != std::string::npos;
+}
+
 std::string EventRelay::takeRemainder()
 {
     return std::exchange(m_partial, {});
--- a/src/hornbeamgate/gateway/event_relay.hpp
+++ b/src/hornbeamgate/gateway/event_relay.hpp
@@ -26,6 +26,9 @@
     /// next run resumes after the events that earlier calls returned.
     std::optional<std::string> feed(std::string_view bytes);
 
+    /// Returns true if the bytes received so far end inside an event. Line ends alone are no part of an event.
+    bool isInsideEvent() const;
+
     /// Returns the bytes after the last complete event, for a stream that ended normally.
     std::string takeRemainder();
 
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -400,6 +400,11 @@
         handleBufferedResponse();
         return;
     }
+    if (m_relay.isInsideEvent()) {
+        endSend(SendOutcome::Failed);
+        onPossiblyExecuted("the stream ended inside an event");
+        return;
+    }
     if (!m_hasBegunResponse)
         beginResponse();
     m_caller.sendChunk(m_relay.takeRemainder());
--- a/tests/gateway/event_relay.test.cpp
+++ b/tests/gateway/event_relay.test.cpp
@@ -28,6 +28,24 @@
     CHECK(relay.takeRemainder() == "id: 3\ndata: cut o");
 }
 
+TEST_CASE("a stream is inside an event until its blank line, and line ends alone are no event [events]")
+{
+    for (const auto& bytes : { std::string(), std::string("\r"), event(1), event(1) + "\r", event(1) + "\r\n\r" }) {
+        CAPTURE(bytes);
+        EventRelay relay(std::nullopt);
+        REQUIRE(relay.feed(bytes));
+        CHECK_FALSE(relay.isInsideEvent());
+    }
+    for (const auto& bytes : { event(1) + "i", event(1) + "id: 2\ndata: p", event(1) + "id: 2\ndata: p\n", event(1) + "id: 2\r\ndata: p\r\n\r" }) {
+        CAPTURE(bytes);
+        EventRelay relay(std::nullopt);
+        REQUIRE(relay.feed(bytes));
+        CHECK(relay.isInsideEvent());
+        relay.startRun();
+        CHECK_FALSE(relay.isInsideEvent());
+    }
+}
+
 TEST_CASE("a second run resumes after the last complete event without duplicates [events]")
 {
     EventRelay relay(std::nullopt);
--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -404,6 +404,75 @@
     }
 }
 
+TEST_CASE("a stream that ends inside an event is resumed and not forwarded as complete [request]")
+{
+    for (const bool isChunked : { false, true }) {
+        for (const std::string cut : { "id: 3\nda", "id: 3\ndata: p", "id: 3\ndata: p\n" }) {
+            CAPTURE(isChunked);
+            CAPTURE(cut);
+            GatewayFixture fixture;
+            fixture.addFallback();
+            fixture.request("/stream/a");
+            fixture.first.waitFor(0, "hi");
+            const auto bytes = event(1) + event(2) + cut;
+            fixture.first.send(0, head(200, std::string(kSigned) + (isChunked ? kChunked + chunkText(bytes) + std::string(kLastChunk) : kUnframed + bytes)));
+            fixture.first.finish(0);
+            fixture.second.waitFor(0, "Last-Event-Id: 2\r\n");
+            fixture.second.send(0, head(200, std::string(kSigned) + kUnframed) + event(3));
+            fixture.second.finish(0);
+            fixture.waitFor("\r\n0\r\n\r\n");
+            CHECK(fixture.received.find("id: 3") == fixture.received.find(event(3)));
+            CHECK(fixture.received.find("id: 3") == fixture.received.rfind("id: 3"));
+        }
+    }
+}
+
+TEST_CASE("a stream that ends inside its first event is retried [request]")
+{
+    GatewayFixture fixture;
+    fixture.addFallback();
+    fixture.request("/stream/a");
+    fixture.first.waitFor(0, "hi");
+    fixture.first.send(0, head(200, std::string(kSigned) + kUnframed) + "id: 1\ndata: p\n");
+    fixture.first.finish(0);
+    fixture.second.waitFor(0, "hi");
+    CHECK(fixture.second.received(0).find("Last-Event-Id") == std::string::npos);
+    fixture.second.send(0, head(200, std::string(kSigned) + kUnframed) + event(1));
+    fixture.second.finish(0);
+    fixture.waitFor("\r\n0\r\n\r\n");
+    CHECK(fixture.received.find("id: 1") == fixture.received.rfind("id: 1"));
+}
+
+TEST_CASE("a stream that ends inside an event and cannot be resumed is aborted, or refused before its first event [request]")
+{
+    for (const bool isChunked : { false, true }) {
+        CAPTURE(isChunked);
+        const auto stream = [&](const std::string& bytes) {
+            return head(200, std::string(kSigned) + (isChunked ? kChunked + chunkText(bytes) + std::string(kLastChunk) : kUnframed + bytes));
+        };
+        GatewayFixture cut;
+        cut.addFallback();
+        cut.request("/once/a");
+        cut.first.waitFor(0, "hi");
+        cut.first.send(0, stream(event(1) + "id: 2\ndata: p\n"));
+        cut.first.finish(0);
+        REQUIRE(runUntil([&] { return cut.hasEnded || cut.has("\r\n0\r\n"); }));
+        CHECK(cut.has(event(1)));
+        CHECK_FALSE(cut.has("id: 2"));
+        CHECK_FALSE(cut.has("\r\n0\r\n"));
+        CHECK(cut.second.connections() == 0);
+        GatewayFixture refused;
+        refused.addFallback();
+        refused.request("/once/a");
+        refused.first.waitFor(0, "hi");
+        refused.first.send(0, stream("id: 1\ndata: p"));
+        refused.first.finish(0);
+        REQUIRE(runUntil([&] { return refused.has("HTTP/1.1 502") || refused.has("\r\n0\r\n"); }));
+        CHECK(refused.has("HTTP/1.1 502"));
+        CHECK(refused.second.connections() == 0);
+    }
+}
+
 TEST_CASE("a stream without an incomplete event is complete, also without any event [request]")
 {
     for (const bool isChunked : { false, true }) {
