Send no body after the head of a HEAD response

A caller that asked with HEAD on a streaming route and kept its connection read five stray bytes ("0\r\n\r\n") before its next response, so that response was malformed or assigned wrongly.

Cause: HttpServerConnection left out the body of a HEAD response only in answer(), not in a response that is sent in chunks.

Evidence, before: the next response should begin right after the head of the HEAD response.

no body follows the head of a HEAD request on a streaming route [request] CHECK( fixture.received.find("\r\n\r\n") + 4 == fixture.received.rfind("HTTP/1.1 200 ") ) is NOT correct! values: CHECK( 149 == 154 )

Chunks and the last chunk are now left out too.

--- a/src/hornbeamgate/runtime/net/http_server_connection.cpp
+++ b/src/hornbeamgate/runtime/net/http_server_connection.cpp
@@ -111,12 +111,14 @@
 
 void HttpServerConnection::sendChunk(std::string_view octets)
 {
-    m_stream->send(chunkText(octets));
+    if (!m_isHeadRequest)
+        m_stream->send(chunkText(octets));
 }
 
 void HttpServerConnection::finishResponse()
 {
-    m_stream->send(kLastChunk);
+    if (!m_isHeadRequest)
+        m_stream->send(kLastChunk);
     completeResponse();
 }
 
--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -560,6 +560,26 @@
     CHECK(fixture.has("Content-Length: 9\r\n"));
 }
 
+TEST_CASE("no body follows the head of a HEAD request on a streaming route [request]")
+{
+    GatewayFixture fixture;
+    fixture.addFallback();
+    fixture.request("/read/a");
+    fixture.first.waitFor(0, "hi");
+    fixture.first.send(0, head(200, std::string(kSigned) + kEmpty));
+    fixture.waitFor("\r\n\r\n");
+    fixture.received.clear();
+    fixture.caller->send("HEAD /stream/a HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamgate-Request-Id: r1\r\nAuthorization: Bearer key\r\n\r\n");
+    fixture.first.waitFor(0, "HEAD /stream/a");
+    fixture.first.send(0, head(200, std::string(kSigned) + kUnframed));
+    fixture.waitFor("\r\n\r\n");
+    fixture.caller->send("GET /read/b HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamgate-Request-Id: r1\r\nAuthorization: Bearer key\r\n\r\n");
+    fixture.first.waitFor(1, "GET /read/b");
+    fixture.first.send(1, head(200, std::string(kSigned) + "Content-Length: 2\r\n\r\nok"));
+    fixture.waitFor("\r\n\r\nok");
+    CHECK(fixture.received.find("\r\n\r\n") + 4 == fixture.received.rfind("HTTP/1.1 200 "));
+}
+
 TEST_CASE("an overdue stream moves to another engine only after being overtaken [request]")
 {
     GatewayFixture fixture;
