--- a/tests/gateway/event_relay.test.cpp
+++ b/tests/gateway/event_relay.test.cpp
@@ -28,6 +28,24 @@
     CHECK(relay.takeRemainder() == "id: 3\ndata: cut o");
 }
 
+TEST_CASE("a stream is inside an event until its blank line, and line ends alone are no event [events]")
+{
+    for (const auto& bytes : { std::string(), std::string("\r"), event(1), event(1) + "\r", event(1) + "\r\n\r" }) {
+        CAPTURE(bytes);
+        EventRelay relay(std::nullopt);
+        REQUIRE(relay.feed(bytes));
+        CHECK_FALSE(relay.isInsideEvent());
+    }
+    for (const auto& bytes : { event(1) + "i", event(1) + "id: 2\ndata: p", event(1) + "id: 2\ndata: p\n", event(1) + "id: 2\r\ndata: p\r\n\r" }) {
+        CAPTURE(bytes);
+        EventRelay relay(std::nullopt);
+        REQUIRE(relay.feed(bytes));
+        CHECK(relay.isInsideEvent());
+        relay.startRun();
+        CHECK_FALSE(relay.isInsideEvent());
+    }
+}
+
 TEST_CASE("a second run resumes after the last complete event without duplicates [events]")
 {
     EventRelay relay(std::nullopt);
@@ -44,6 +62,19 @@
     CHECK_FALSE(relay.feed(event(15)));
 }
 
+TEST_CASE("events that were not handed out before a failure are not skipped by the next run [events]")
+{
+    for (const auto& broken : { event(5), "id: 4\ndata: " + std::string(EventRelay::kMaxEventBytes, 'x') }) {
+        EventRelay relay(std::nullopt);
+        REQUIRE(relay.feed(event(1)) == event(1));
+        CHECK_FALSE(relay.feed(event(2) + event(3) + broken));
+        CHECK(relay.lastId() == 1);
+        relay.startRun();
+        CHECK(relay.feed(event(2) + event(3) + event(4)) == event(2) + event(3) + event(4));
+        CHECK(relay.lastId() == 4);
+    }
+}
+
 TEST_CASE("bytes that never end an event are a failure, not a growing buffer [events]")
 {
     EventRelay relay(std::nullopt);
--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -79,6 +79,13 @@
         state.registry.put(entry);
     }
 
+    /// Adds the second endpoint, which is used only after the first one.
+    void addFallback()
+    {
+        addEndpoint("e2", second.address());
+        state.loads.pauseUntil(EndpointId("e2"), MonotonicClock::now() + 1h);
+    }
+
     void request(const std::string& target, const std::string& extra = "Authorization: Bearer key\r\n")
     {
         auto connected = TcpStream::connect(gateway->address(), MonotonicClock::now() + 5s);
@@ -124,6 +131,7 @@
 constexpr const char* kSigned = "X-Hornbeamgate-Server-Signature: sig\r\n";
 constexpr const char* kNotExecuted = "X-Hornbeamgate-Not-Executed: 1\r\n";
 constexpr const char* kChunked = "Transfer-Encoding: chunked\r\n\r\n";
+constexpr const char* kUnframed = "Content-Type: text/event-stream\r\n\r\n";
 constexpr const char* kEmpty = "Content-Length: 0\r\n\r\n";
 
 std::string event(int id)
@@ -131,6 +139,15 @@
     return "id: " + std::to_string(id) + "\ndata: p\n\n";
 }
 
+std::string lastEventId(const std::string& request)
+{
+    constexpr std::string_view kField = "\r\nLast-Event-Id: ";
+    const auto start = request.find(kField);
+    if (start == std::string::npos)
+        return {};
+    return request.substr(start + kField.size(), request.find('\r', start + kField.size()) - start - kField.size());
+}
+
 } // namespace
 
 TEST_CASE("a response is returned with its status, body and signature [request]")
@@ -351,6 +368,218 @@
     refused.waitFor("HTTP/1.1 502");
 }
 
+TEST_CASE("a resumed stream does not skip events that came together with a gap [request]")
+{
+    GatewayFixture fixture;
+    fixture.addFallback();
+    fixture.request("/stream/a");
+    fixture.first.waitFor(0, "hi");
+    fixture.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1)));
+    fixture.waitFor(event(1));
+    fixture.first.send(0, chunkText(event(2) + event(3) + event(5)));
+    fixture.second.waitFor(0, "hi");
+    CHECK(lastEventId(fixture.second.received(0)) == "1");
+    fixture.second.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(2) + event(3) + event(4)) + std::string(kLastChunk));
+    fixture.waitFor("\r\n0\r\n\r\n");
+    CHECK(fixture.has(event(2) + event(3) + event(4)));
+}
+
+TEST_CASE("a stream with neither a length nor chunks is relayed event by event and complete at an orderly close [request]")
+{
+    for (const std::string target : { "/stream/a", "/once/a" }) {
+        CAPTURE(target);
+        GatewayFixture fixture;
+        fixture.addFallback();
+        fixture.request(target);
+        fixture.first.waitFor(0, "hi");
+        fixture.first.send(0, head(200, std::string(kSigned) + kUnframed) + event(1) + "id: 2\n");
+        fixture.waitFor(event(1));
+        CHECK_FALSE(fixture.has("id: 2"));
+        fixture.first.send(0, "data: p\n\n");
+        fixture.waitFor(event(2));
+        CHECK_FALSE(fixture.has("\r\n0\r\n\r\n"));
+        fixture.first.finish(0);
+        fixture.waitFor("\r\n0\r\n\r\n");
+        CHECK(fixture.second.connections() == 0);
+    }
+}
+
+TEST_CASE("a stream that ends inside an event is resumed and not forwarded as complete [request]")
+{
+    for (const bool isChunked : { false, true }) {
+        for (const std::string cut : { "id: 3\nda", "id: 3\ndata: p", "id: 3\ndata: p\n" }) {
+            CAPTURE(isChunked);
+            CAPTURE(cut);
+            GatewayFixture fixture;
+            fixture.addFallback();
+            fixture.request("/stream/a");
+            fixture.first.waitFor(0, "hi");
+            const auto bytes = event(1) + event(2) + cut;
+            fixture.first.send(0, head(200, std::string(kSigned) + (isChunked ? kChunked + chunkText(bytes) + std::string(kLastChunk) : kUnframed + bytes)));
+            fixture.first.finish(0);
+            fixture.second.waitFor(0, "Last-Event-Id: 2\r\n");
+            fixture.second.send(0, head(200, std::string(kSigned) + kUnframed) + event(3));
+            fixture.second.finish(0);
+            fixture.waitFor("\r\n0\r\n\r\n");
+            CHECK(fixture.received.find("id: 3") == fixture.received.find(event(3)));
+            CHECK(fixture.received.find("id: 3") == fixture.received.rfind("id: 3"));
+        }
+    }
+}
+
+TEST_CASE("a stream that ends inside its first event is retried [request]")
+{
+    GatewayFixture fixture;
+    fixture.addFallback();
+    fixture.request("/stream/a");
+    fixture.first.waitFor(0, "hi");
+    fixture.first.send(0, head(200, std::string(kSigned) + kUnframed) + "id: 1\ndata: p\n");
+    fixture.first.finish(0);
+    fixture.second.waitFor(0, "hi");
+    CHECK(fixture.second.received(0).find("Last-Event-Id") == std::string::npos);
+    fixture.second.send(0, head(200, std::string(kSigned) + kUnframed) + event(1));
+    fixture.second.finish(0);
+    fixture.waitFor("\r\n0\r\n\r\n");
+    CHECK(fixture.received.find("id: 1") == fixture.received.rfind("id: 1"));
+}
+
+TEST_CASE("a stream that ends inside an event and cannot be resumed is aborted, or refused before its first event [request]")
+{
+    for (const bool isChunked : { false, true }) {
+        CAPTURE(isChunked);
+        const auto stream = [&](const std::string& bytes) {
+            return head(200, std::string(kSigned) + (isChunked ? kChunked + chunkText(bytes) + std::string(kLastChunk) : kUnframed + bytes));
+        };
+        GatewayFixture cut;
+        cut.addFallback();
+        cut.request("/once/a");
+        cut.first.waitFor(0, "hi");
+        cut.first.send(0, stream(event(1) + "id: 2\ndata: p\n"));
+        cut.first.finish(0);
+        REQUIRE(runUntil([&] { return cut.hasEnded || cut.has("\r\n0\r\n"); }));
+        CHECK(cut.has(event(1)));
+        CHECK_FALSE(cut.has("id: 2"));
+        CHECK_FALSE(cut.has("\r\n0\r\n"));
+        CHECK(cut.second.connections() == 0);
+        GatewayFixture refused;
+        refused.addFallback();
+        refused.request("/once/a");
+        refused.first.waitFor(0, "hi");
+        refused.first.send(0, stream("id: 1\ndata: p"));
+        refused.first.finish(0);
+        REQUIRE(runUntil([&] { return refused.has("HTTP/1.1 502") || refused.has("\r\n0\r\n"); }));
+        CHECK(refused.has("HTTP/1.1 502"));
+        CHECK(refused.second.connections() == 0);
+    }
+}
+
+TEST_CASE("a stream without an incomplete event is complete, also without any event [request]")
+{
+    for (const bool isChunked : { false, true }) {
+        for (const std::string bytes : { "", "\r", "\n", "\r\n", "data: p\n\n\n", "data: p\r\n\r\n\r", ": nothing yet\n\n" }) {
+            CAPTURE(isChunked);
+            CAPTURE(bytes);
+            GatewayFixture fixture;
+            fixture.addFallback();
+            fixture.request("/stream/a");
+            fixture.first.waitFor(0, "hi");
+            fixture.first.send(0, head(200, std::string(kSigned) + (isChunked ? kChunked + chunkText(bytes) + std::string(kLastChunk) : kUnframed + bytes)));
+            fixture.first.finish(0);
+            fixture.waitFor("0\r\n\r\n");
+            CHECK(fixture.has("HTTP/1.1 200 "));
+            CHECK(fixture.second.connections() == 0);
+        }
+    }
+}
+
+TEST_CASE("an error response of a streaming route is returned as it is, however its body ends [request]")
+{
+    GatewayFixture fixture;
+    fixture.addFallback();
+    fixture.request("/stream/a");
+    fixture.first.waitFor(0, "hi");
+    fixture.first.send(0, head(404, std::string(kSigned) + "\r\n") + "data: no such model");
+    fixture.first.finish(0);
+    fixture.waitFor("\r\n\r\ndata: no such model");
+    CHECK(fixture.has("HTTP/1.1 404 "));
+    CHECK(fixture.second.connections() == 0);
+}
+
+TEST_CASE("a reset stream without a length is resumed after the last complete event [request]")
+{
+    for (const std::string rest : { "", "id: 2\ndata: p\n" }) {
+        CAPTURE(rest);
+        GatewayFixture fixture;
+        fixture.addFallback();
+        fixture.first.pauseReading();
+        fixture.request("/stream/a");
+        fixture.first.waitForUnreadData(0);
+        fixture.first.send(0, head(200, std::string(kSigned) + kUnframed) + event(1) + rest);
+        fixture.waitFor(event(1));
+        fixture.first.drop(0);
+        fixture.second.waitFor(0, "Last-Event-Id: 1\r\n");
+        CHECK_FALSE(fixture.has("\r\n0\r\n"));
+        fixture.second.send(0, head(200, std::string(kSigned) + kUnframed) + event(2));
+        fixture.second.finish(0);
+        fixture.waitFor("\r\n0\r\n\r\n");
+        CHECK(fixture.received.find("id: 2") == fixture.received.rfind("id: 2"));
+    }
+}
+
+TEST_CASE("a reset response without a length is 502, and aborted if it has begun [request]")
+{
+    for (const bool isLarge : { false, true }) {
+        CAPTURE(isLarge);
+        GatewayFixture fixture;
+        fixture.first.pauseReading();
+        fixture.request("/booking/a");
+        fixture.first.waitForUnreadData(0);
+        const std::string body(isLarge ? 1048576 : 100, 'x');
+        fixture.first.send(0, head(200, std::string(kSigned) + "X-Hornbeamgate-Server-Load: 5,0,8\r\n\r\n") + body);
+        if (isLarge)
+            REQUIRE(runUntil([&] { return fixture.received.size() > body.size(); }));
+        else
+            // The gateway reads head and body together, as both are sent at once.
+            REQUIRE(runUntil([&] { return fixture.state.loads.load(EndpointId("e1"), MonotonicClock::now()) > 2; }));
+        fixture.first.drop(0);
+        REQUIRE(runUntil([&] { return fixture.hasEnded || fixture.has("HTTP/1.1 502"); }));
+        CHECK(fixture.has("HTTP/1.1 200 ") == isLarge);
+        CHECK_FALSE(fixture.has("\r\n0\r\n"));
+    }
+}
+
+TEST_CASE("a response with neither a length nor chunks is complete at an orderly close [request]")
+{
+    GatewayFixture fixture;
+    fixture.request("/booking/a");
+    fixture.first.waitFor(0, "hi");
+    fixture.first.send(0, head(201, std::string(kSigned) + "\r\n") + "all of it");
+    fixture.first.finish(0);
+    fixture.waitFor("\r\n\r\nall of it");
+    CHECK(fixture.has("HTTP/1.1 201 "));
+    CHECK(fixture.has("Content-Length: 9\r\n"));
+}
+
+TEST_CASE("no body follows the head of a HEAD request on a streaming route [request]")
+{
+    GatewayFixture fixture;
+    fixture.addFallback();
+    fixture.request("/read/a");
+    fixture.first.waitFor(0, "hi");
+    fixture.first.send(0, head(200, std::string(kSigned) + kEmpty));
+    fixture.waitFor("\r\n\r\n");
+    fixture.received.clear();
+    fixture.caller->send("HEAD /stream/a HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamgate-Request-Id: r1\r\nAuthorization: Bearer key\r\n\r\n");
+    fixture.first.waitFor(0, "HEAD /stream/a");
+    fixture.first.send(0, head(200, std::string(kSigned) + kUnframed));
+    fixture.waitFor("\r\n\r\n");
+    fixture.caller->send("GET /read/b HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamgate-Request-Id: r1\r\nAuthorization: Bearer key\r\n\r\n");
+    fixture.first.waitFor(1, "GET /read/b");
+    fixture.first.send(1, head(200, std::string(kSigned) + "Content-Length: 2\r\n\r\nok"));
+    fixture.waitFor("\r\n\r\nok");
+    CHECK(fixture.received.find("\r\n\r\n") + 4 == fixture.received.rfind("HTTP/1.1 200 "));
+}
+
 TEST_CASE("an overdue stream moves to another engine only after being overtaken [request]")
 {
     GatewayFixture fixture;
