Let a timer not fire once it is cleared or set to a later deadline

What callers would see: a request that may run once ran at two engines. When a daemon stood still (a pause of its host, or a busy loop) until the connect timeout of a connection that was established meanwhile, it sent the request over the connection, and then the connection's timer, cleared just before, ended the connection as never established. The request counted as not sent and went to another engine. In the same way a request whose engine failed as it became overdue was sent to two more engines instead of one, with one retry more from the budget, and a request that arrived as its connection's idle timeout expired lost the connection without a response.

Cause: GLib collects all sources that are due before it dispatches the first, and dispatches each of them unless it is destroyed. Timer::clear and Timer::set only move the ready time, so a timer that a callback of the same iteration had cleared or moved fired nevertheless, for an operation that had ended or in place of the next one, whose deadline it then deleted.

A timer source now compares its ready time with the clock when it is dispatched, and goes on waiting if the time was cleared or lies ahead. This holds for every timer of the daemons; no owner has to check.

--- a/src/hornbeamgate/runtime/glib_support.cpp
+++ b/src/hornbeamgate/runtime/glib_support.cpp
@@ -45,6 +45,11 @@
     /// Dispatches a source that stays and waits for its next ready time.
     gboolean dispatchTimer(GSource* source, GSourceFunc call, gpointer data)
     {
+        // GLib dispatches each source that was due when the iteration began, even if a callback has cleared or moved its
+        // ready time since.
+        const auto readyTime = g_source_get_ready_time(source);
+        if (readyTime == kNever || readyTime > g_get_monotonic_time())
+            return G_SOURCE_CONTINUE;
         g_source_set_ready_time(source, kNever);
         call(data);
         return G_SOURCE_CONTINUE;
--- a/src/hornbeamgate/runtime/glib_support.hpp
+++ b/src/hornbeamgate/runtime/glib_support.hpp
@@ -70,7 +70,8 @@
     GSource* m_source = nullptr;
 };
 
-/// Calls back once when its deadline has passed; setting a new deadline replaces the old one.
+/// Calls back once when its deadline has passed; setting a new deadline replaces the old one. A timer that was cleared or
+/// set to a later deadline does not call back for the old one, even if that has passed already.
 class Timer {
 public:
     explicit Timer(std::function<void()> expired);
--- a/tests/net/http_server_connection.test.cpp
+++ b/tests/net/http_server_connection.test.cpp
@@ -4,8 +4,11 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 using namespace hornbeamgate;
 using namespace hornbeamgate::gateway;
+using hornbeamgate::testing::runFor;
 using hornbeamgate::testing::runUntil;
 using namespace std::chrono_literals;
 
@@ -99,6 +102,29 @@
     CHECK(idle.received.empty());
 }
 
+TEST_CASE("a request that arrives as the idle timeout expires keeps its connection [server]")
+{
+    constexpr auto kIdleTimeout = 100ms;
+    bool hasDisconnected = false;
+    HttpServerConnection* connection = nullptr;
+    auto acceptor = HttpAcceptor::create({ "127.0.0.1", 0 }, { [&](HttpServerConnection& accepted, const HttpRequestMessage&) -> std::unique_ptr<HttpRequestHandler> {
+                                                                  connection = &accepted;
+                                                                  return std::make_unique<PendingRequest>(hasDisconnected);
+                                                              },
+                                                                 [kIdleTimeout] { return HttpServerLimits { 2000, 2000, 3000ms, kIdleTimeout }; }, {} });
+    REQUIRE(acceptor);
+    Client client((*acceptor)->address());
+    REQUIRE(runUntil([&] { return (*acceptor)->connections() == 1 && client.stream->isConnected(); }));
+    client.stream->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    // The loop does not run meanwhile, so the request and the timeout are due at the same time.
+    std::this_thread::sleep_for(kIdleTimeout);
+    REQUIRE(runUntil([&] { return connection != nullptr; }));
+    runFor(50ms);
+    REQUIRE((*acceptor)->busyConnections() == 1);
+    connection->answer(200, {}, "done");
+    client.waitFor("done");
+}
+
 TEST_CASE("a client disconnect is detected while its request is in progress [server]")
 {
     bool hasDisconnected = false;
--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -6,6 +6,8 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 using namespace hornbeamgate;
 using namespace hornbeamgate::gateway;
 using namespace hornbeamgate::gateway::testing;
@@ -45,9 +47,14 @@
     shortObjective.name = "hasty";
     shortObjective.pathPrefix = "/hasty/";
     shortObjective.latencyObjective = 50ms;
+    auto overdue = read;
+    overdue.name = "overdue";
+    overdue.pathPrefix = "/overdue/";
+    overdue.latencyObjective = 500ms;
+    overdue.maxEndpoints = 3;
     auto shortTimeout = route("brief");
     shortTimeout.timeout = 80ms;
-    made.routes = { booking, read, stream, once, shortObjective, shortTimeout };
+    made.routes = { booking, read, stream, once, shortObjective, overdue, shortTimeout };
     WorkspaceRule workspace;
     workspace.id = WorkspaceId("w");
     workspace.keys = { "key" };
@@ -547,3 +554,36 @@
     fixture.waitFor("HTTP/1.1 503");
     CHECK(fixture.first.connections() == 0);
 }
+
+TEST_CASE("a request whose endpoint fails as it becomes overdue is sent to one other endpoint, not to two [request]")
+{
+    // The timer of the first send fired for the second one.
+    constexpr auto kOverdueAfter = 300ms;
+    GatewayFixture fixture;
+    fixture.request("/overdue/a");
+    fixture.first.waitFor(0, "hi");
+    ScriptedServer third;
+    fixture.addEndpoint("e2", fixture.second.address());
+    fixture.addEndpoint("e3", third.address());
+    fixture.first.drop(0);
+    // The loop does not run meanwhile, so the failure and the timer are due at the same time.
+    std::this_thread::sleep_for(kOverdueAfter);
+    runFor(kOverdueAfter / 2);
+    CHECK(fixture.second.countReceived("POST /overdue/a") + third.countReceived("POST /overdue/a") == 1);
+    CHECK(fixture.state.sendCount == 2);
+}
+
+TEST_CASE("a booking whose connection is established as the connect timeout expires is sent to one engine [request]")
+{
+    // The request was sent and then reported as not sent, because the connection's timer fired after it had been cleared.
+    constexpr auto kConnectTimeout = 500ms;
+    GatewayFixture fixture;
+    fixture.addEndpoint("e2", fixture.second.address());
+    fixture.request("/booking/a");
+    REQUIRE(runUntil([&] { return fixture.state.sendCount == 1; }));
+    // The loop does not run meanwhile, so the connection and the timer are due at the same time.
+    std::this_thread::sleep_for(kConnectTimeout);
+    runFor(100ms);
+    CHECK(fixture.state.sendCount == 1);
+    CHECK(fixture.first.countReceived("POST /booking/a") + fixture.second.countReceived("POST /booking/a") == 1);
+}
