Do not cancel a run that another stream has resumed

What callers would see: a stream that had gone on over a new connection ended with an error some seconds later.

Cause: when an entry daemon gives up a silent connection to an agent, it resumes the run over a new one at once. The agent may notice the end of the old connection only later. It then scheduled the cancellation of the run as if nobody read it, and only an order that arrived afterwards would have withdrawn that. After four seconds it cancelled the run at the engine, under the new stream.

Evidence, before: CHECK( agent.engine.cancellations == 0 ) values: CHECK( 1 == 0 )

A lost stream now schedules the cancellation only if it is the run's last one.

--- a/src/hornbeamgate/runtime/agent/engine_dispatcher.cpp
+++ b/src/hornbeamgate/runtime/agent/engine_dispatcher.cpp
@@ -191,11 +191,17 @@
 void EngineDispatcher::streamLost(RunStream& stream)
 {
     auto* run = find(stream);
-    if (run && run->engineRun)
+    // The entry daemon may have noticed the loss earlier, so that another stream reads the run already.
+    if (run && run->engineRun && countStreams(run->order.id) == 1)
         scheduleCancellation(run->order.id);
     remove(stream);
 }
 
+std::size_t EngineDispatcher::countStreams(const RunId& id) const
+{
+    return static_cast<std::size_t>(std::count_if(m_runs.begin(), m_runs.end(), [&](const auto& run) { return run->order.id == id; }));
+}
+
 void EngineDispatcher::scheduleCancellation(const RunId& id)
 {
     auto timer = std::make_unique<Timer>([this, id] {
--- a/src/hornbeamgate/runtime/agent/engine_dispatcher.hpp
+++ b/src/hornbeamgate/runtime/agent/engine_dispatcher.hpp
@@ -47,6 +47,8 @@
     void perform(const RefuseOfferedRun& action);
     void startEngineRun(Run& run);
     void scheduleCancellation(const RunId& id);
+    /// Returns the number of streams that ordered or resumed the run.
+    std::size_t countStreams(const RunId& id) const;
     Run* find(const RunStream& stream);
     Run* find(QueueTicket ticket);
     void remove(const RunStream& stream);
