Remove a pooled connection as soon as unexpected data arrives on it

What callers would see: nothing for most requests, since responses carry the request's id; a request on such a connection fails or gets a malformed response. Calls without an id, to the store and to engines' control, could take the rest of a response that nobody asked for as their own.

Cause: the pool removed the connection in a posted callback, because it had to outlive the callback that reported the data. A request of the same iteration of the main loop could take it before that: the data had been read, so the socket looked empty.

Evidence, before: CHECK( pool.take(server.address(), MonotonicClock::now()) == nullptr ) values: CHECK( 0x560ccbf477f0 == nullptr )

Any callback of a stream may destroy it, so the pool removes it directly. No closure with a raw pointer outlives the connection any more.

--- a/src/hornbeamgate/runtime/net/http_connection_pool.cpp
+++ b/src/hornbeamgate/runtime/net/http_connection_pool.cpp
@@ -39,13 +39,8 @@
     if (idle.size() >= kMaxIdlePerPeer)
         idle.pop_front();
     const auto* raw = stream.get();
-    const auto drop = [this, key = peer.text(), raw] {
-        // This runs inside a callback of the stream, so its destruction is deferred until the callback has returned.
-        post([this, key, raw, alive = m_liveness.watch()] {
-            if (!alive.expired())
-                remove(key, raw);
-        });
-    };
+    // Removed at once, since a request may take the connection before the next iteration of the main loop.
+    const auto drop = [this, key = peer.text(), raw] { remove(key, raw); };
     stream->setHandlers({ {}, [drop](std::string_view) { drop(); }, [drop](StreamEnd, const std::string&) { drop(); } });
     idle.push_back({ std::move(stream), now, expiresAt });
 }
--- a/src/hornbeamgate/runtime/net/http_connection_pool.hpp
+++ b/src/hornbeamgate/runtime/net/http_connection_pool.hpp
@@ -49,7 +49,6 @@
     Duration m_lastIdleTime {};
     std::uint64_t m_opened = 0;
     std::uint64_t m_reused = 0;
-    Liveness m_liveness;
 };
 
 } // namespace hornbeamgate::gateway
--- a/tests/net/http_exchange.test.cpp
+++ b/tests/net/http_exchange.test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 using namespace hornbeamgate;
 using namespace hornbeamgate::gateway;
 using namespace hornbeamgate::gateway::testing;
@@ -114,6 +116,21 @@
     CHECK(server.received(0).find("/two") == std::string::npos);
 }
 
+TEST_CASE("a pooled connection on which unexpected data has arrived is not reused [exchange]")
+{
+    ScriptedServer server;
+    HttpConnectionPool pool;
+    ExchangeRecorder first(pool, server.address(), "one");
+    server.waitFor(0, "/one");
+    server.send(0, answer("one", "x"));
+    first.waitForEnd();
+    server.send(0, answer("one", "unexpected"));
+    // Lets the data arrive before the next iteration of the loop, after which the pool has been told of it.
+    std::this_thread::sleep_for(50ms);
+    g_main_context_iteration(nullptr, FALSE);
+    CHECK(pool.take(server.address(), MonotonicClock::now()) == nullptr);
+}
+
 TEST_CASE("data received after the end of an exchange does not reach its destroyed owner [exchange]")
 {
     // Guards against a use after free: the response closes the connection, the owner of the exchange is destroyed, and
