Ignore the response to a renewal that a later one or a departure has overtaken

A daemon took itself for the leader of weights rollouts again after the store had named another one, until the next response or the end of its lease, and told the fleet so, which keeps others from becoming leader.

Cause: a membership is renewed every 400 ms and a call may take 1500 ms, so that several are pending at a slow store, on different connections. Responses were applied in the order of their arrival, and a response to a renewal from before the daemon left the group counted for its next membership.

Evidence, before: CHECK_FALSE( fixture.state.weightsRollout.isConfirmed(MonotonicClock::now()) ) values: CHECK_FALSE( true ), in both tests; CHECK_FALSE( ...leadershipReport(...).isLeader ) values: CHECK_FALSE( true )

Renewals are numbered; a response older than the last one applied, or than the last departure, is ignored.

--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -293,9 +293,12 @@
 {
     const auto suspended = suspendedTime();
     const auto lifetime = std::max(kMembershipTtl, std::chrono::ceil<milliseconds>(m_state.settings.minMembershipLifetime));
-    m_directory.renewRolloutMembership(m_self.host, lifetime, [this, now, suspended, lifetime](const Result<RolloutMembership, DirectoryError>& membership) {
-        if (membership)
-            onMembershipRenewed(*membership, now + lifetime - kLeadershipExpiryMargin - (suspendedTime() - suspended), MonotonicClock::now());
+    m_directory.renewRolloutMembership(m_self.host, lifetime, [this, now, suspended, lifetime, number = ++m_lastRenewal](const Result<RolloutMembership, DirectoryError>& membership) {
+        // Several renewals may be pending at a slow store, and the response to a later one, or a departure, overrides this one.
+        if (!membership || number <= m_lastSettledRenewal)
+            return;
+        m_lastSettledRenewal = number;
+        onMembershipRenewed(*membership, now + lifetime - kLeadershipExpiryMargin - (suspendedTime() - suspended), MonotonicClock::now());
     });
 }
 
@@ -345,6 +348,7 @@
 
 void DirectoryTask::leaveRolloutGroup(std::function<void()> done)
 {
+    m_lastSettledRenewal = m_lastRenewal;
     // If leaving fails, the membership expires on its own.
     m_directory.leaveRolloutGroup(m_self.host, [done = std::move(done)](const Result<bool, DirectoryError>&) { done(); });
 }
--- a/src/hornbeamgate/runtime/gateway/directory_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.hpp
@@ -83,6 +83,8 @@
     Timer m_expiryTimer;
     MonotonicTime m_startedAt = MonotonicClock::now();
     RolloutElection m_election { m_startedAt };
+    std::uint64_t m_lastRenewal = 0;
+    std::uint64_t m_lastSettledRenewal = 0; ///< responses to renewals up to this one are ignored
 };
 
 } // namespace hornbeamgate::gateway
--- a/tests/platform/directory_task.test.cpp
+++ b/tests/platform/directory_task.test.cpp
@@ -207,6 +207,35 @@
     CHECK_FALSE(fixture.state.weightsRollout.isConfirmed(MonotonicClock::now()));
 }
 
+TEST_CASE("a renewal response that arrives after that of a later renewal does not restore the leadership lost there [directory]")
+{
+    Fixture fixture;
+    REQUIRE(runUntil([&] { return fixture.directory.renewals.size() == 2; }));
+    fixture.directory.renewals[1](RolloutMembership { FencingToken(4), false });
+    fixture.directory.renewals[0](RolloutMembership { FencingToken(3), true });
+    CHECK_FALSE(fixture.state.weightsRollout.isConfirmed(MonotonicClock::now()));
+    CHECK_FALSE(fixture.task.leadershipReport(MonotonicClock::now()).isLeader);
+}
+
+TEST_CASE("a renewal response from before leaving the rollout group does not count for the next membership [directory]")
+{
+    Fixture fixture;
+    REQUIRE(runUntil([&] { return !fixture.directory.renewals.empty(); }));
+    PeerReport leader;
+    leader.incarnation = Incarnation(9);
+    leader.leadership = { true, FencingToken(4), 0, {} };
+    fixture.task.onPeerReport(leader, MonotonicClock::now());
+    REQUIRE(runUntil([&] { return fixture.directory.leaveCount == 1; }));
+    const auto before = fixture.directory.renewals.size();
+    leader.leadership = { false, {}, 1, FencingToken(4) };
+    fixture.task.onPeerReport(leader, MonotonicClock::now());
+    REQUIRE(fixture.directory.renewals.size() == before + 1);
+    fixture.directory.renewals.front()(RolloutMembership { FencingToken(3), true });
+    CHECK_FALSE(fixture.state.weightsRollout.isConfirmed(MonotonicClock::now()));
+    fixture.directory.renewals.back()(RolloutMembership { FencingToken(5), true });
+    CHECK(fixture.state.weightsRollout.isConfirmed(MonotonicClock::now()));
+}
+
 TEST_CASE("after a leader dies, its successor can issue orders within the weights bound [directory]")
 {
     Fixture fixture;
