Do not count the sends to an engine's previous process against its new one

What callers would see: longer queues after an engine's restart. Requests that had hung at the old process ended as failures after the new one had registered; three of them in a row, and every daemon that had sent them avoided the new process for half a second up to four seconds.

Cause: the end of a send was counted for the endpoint's current state, although forget() had discarded the state that the send belonged to.

Evidence, before: CHECK_FALSE( loads.isAvoided(kEndpoint, at(1001ms)) ) values: CHECK_FALSE( true ); CHECK( loads.failureRate(kEndpoint) == 0 ) values: CHECK( 0.477994 == 0 )

Only the end of a send that the state knows is counted.

--- a/src/hornbeamgate/gateway/endpoint_loads.cpp
+++ b/src/hornbeamgate/gateway/endpoint_loads.cpp
@@ -58,8 +58,9 @@
     if (found == m_endpoints.end())
         return;
     auto& state = found->second;
-    state.unanswered.erase(number);
-    if (outcome == SendOutcome::Abandoned || outcome == SendOutcome::Shed)
+    // A send from before forget() tells nothing about the process that runs now.
+    const bool isKnown = state.unanswered.erase(number) > 0;
+    if (!isKnown || outcome == SendOutcome::Abandoned || outcome == SendOutcome::Shed)
         return;
     const bool isFailure = outcome == SendOutcome::Failed;
     state.failureRate += kFailureSmoothing * ((isFailure ? 1.0 : 0.0) - state.failureRate);
--- a/tests/gateway/endpoint_loads.test.cpp
+++ b/tests/gateway/endpoint_loads.test.cpp
@@ -47,6 +47,20 @@
     CHECK_FALSE(loads.isFailing(kEndpoint, at(3001ms)));
 }
 
+TEST_CASE("sends to an engine's previous process that end after its restart do not mark the engine as failing [loads]")
+{
+    EndpointLoads loads;
+    for (std::uint64_t number = 1; number <= 4; ++number)
+        loads.sent(kEndpoint, number, 0, at(0ms));
+    loads.forget(kEndpoint);
+    loads.sent(kEndpoint, 5, 0, at(1s));
+    for (std::uint64_t number = 1; number <= 4; ++number)
+        loads.finished(kEndpoint, number, SendOutcome::Failed, at(1s));
+    CHECK_FALSE(loads.isAvoided(kEndpoint, at(1001ms)));
+    CHECK(loads.failureRate(kEndpoint) == 0);
+    CHECK(loads.load(kEndpoint, at(1s)) == doctest::Approx(1));
+}
+
 TEST_CASE("interleaved failures raise the failure rate without marking the endpoint as failing [loads]")
 {
     EndpointLoads loads;
