Open a stream on a connection that is still in use after its check

What callers would see: a request that waited for the whole time to its first piece and then ended as lost, or with an unknown outcome where it must not run twice, although nothing of it had been sent and the agent could be reached.

Cause: the pool opened the stream first and then told the connection's monitor of the use. If that was the first event after the deadline of a ping, the monitor gave up the silent connection, whose streams then failed. The new stream had no observer yet, so nobody learned of its end.

Evidence, before: CHECK( ask(pool, address, { 4, 2 }, MonotonicClock::now() + std::chrono::seconds(3)) ) failed: no reply within three seconds from a server that answers.

The monitor now learns of the use before the connection is chosen, and of the request at the same time of the clock, at which no deadline can be missed again.

--- a/src/hornbeamgate/runtime/link/link_pool.cpp
+++ b/src/hornbeamgate/runtime/link/link_pool.cpp
@@ -80,11 +80,12 @@
 
 std::unique_ptr<LinkStream> LinkPool::openStream(const SocketAddress& address, std::string_view path)
 {
+    const auto now = MonotonicClock::now();
+    handleEvent(address, connectionTo(address).number, ConnectionUseRequested {}, now);
+    // The first event may have closed a silent connection. A stream opened on it would end before it has an observer.
     auto& pooled = connectionTo(address);
-    const auto number = pooled.number;
     auto stream = pooled.connection->openStream(path);
-    handleEvent(address, number, ConnectionUseRequested {});
-    handleEvent(address, number, ConnectionRequestSent {});
+    handleEvent(address, pooled.number, ConnectionRequestSent {}, now);
     return stream;
 }
 
@@ -105,9 +106,9 @@
     const auto number = ++m_lastNumber;
     auto monitor = ConnectionMonitor::create({}, MonotonicClock::now());
     auto connection = LinkConnection::connect(address, m_self, [this, address, number](const LinkError& error) { removeConnection(address, number, error); });
-    connection->watch([this, address, number] { handleEvent(address, number, ConnectionBytesReceived {}); },
-        [this, address, number] { handleEvent(address, number, ConnectionRequestEnded {}); });
-    Timer timer([this, address, number] { handleEvent(address, number, ConnectionTimerExpired {}); });
+    connection->watch([this, address, number] { handleEvent(address, number, ConnectionBytesReceived {}, MonotonicClock::now()); },
+        [this, address, number] { handleEvent(address, number, ConnectionRequestEnded {}, MonotonicClock::now()); });
+    Timer timer([this, address, number] { handleEvent(address, number, ConnectionTimerExpired {}, MonotonicClock::now()); });
     pooled = std::make_unique<PooledConnection>(PooledConnection { number, std::move(connection), std::move(*monitor), std::move(timer) });
     logEvent(LogEvent::LinkOpened, { { "address", address.text() } });
     return *pooled;
@@ -120,13 +121,13 @@
     return same ? found->second.get() : nullptr;
 }
 
-void LinkPool::handleEvent(const SocketAddress& address, std::uint64_t number, const ConnectionEvent& event)
+void LinkPool::handleEvent(const SocketAddress& address, std::uint64_t number, const ConnectionEvent& event, MonotonicTime now)
 {
     auto* current = find(address, number);
     if (!current)
         return;
     auto& pooled = *current;
-    const auto actions = pooled.monitor.handle(event, MonotonicClock::now());
+    const auto actions = pooled.monitor.handle(event, now);
     armTimer(pooled);
     for (const auto action : actions) {
         if (action == ConnectionAction::SendPing)
--- a/src/hornbeamgate/runtime/link/link_pool.hpp
+++ b/src/hornbeamgate/runtime/link/link_pool.hpp
@@ -39,7 +39,7 @@
 
     PooledConnection& connectionTo(const SocketAddress& address);
     PooledConnection* find(const SocketAddress& address, std::uint64_t number);
-    void handleEvent(const SocketAddress& address, std::uint64_t number, const ConnectionEvent& event);
+    void handleEvent(const SocketAddress& address, std::uint64_t number, const ConnectionEvent& event, MonotonicTime now);
     void armTimer(PooledConnection& pooled);
     void removeConnection(const SocketAddress& address, std::uint64_t number, const LinkError& error);
 
--- a/tests/runtime/link.test.cpp
+++ b/tests/runtime/link.test.cpp
@@ -6,8 +6,10 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <thread>
 
 using namespace hornbeamgate;
+using hornbeamgate::testing::runFor;
 using hornbeamgate::testing::runUntil;
 
 namespace {
@@ -106,6 +108,31 @@
     CHECK(ask(pool, address, { 4, 2 }, defaultDeadline()));
 }
 
+TEST_CASE("a request made as a silent connection is given up uses the new connection [runtime][link]")
+{
+    const ConnectionOptions options;
+    // The kernel accepts connections to this socket, but nothing answers them.
+    GObjectPtr<GSocket> silent(g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr));
+    const GObjectPtr<GSocketAddress> wanted(g_inet_socket_address_new_from_string("127.0.0.1", 0));
+    REQUIRE(g_socket_bind(silent.get(), wanted.get(), TRUE, nullptr));
+    REQUIRE(g_socket_listen(silent.get(), nullptr));
+    const GObjectPtr<GSocketAddress> bound(g_socket_get_local_address(silent.get(), nullptr));
+    const SocketAddress address { "127.0.0.1", g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound.get())) };
+    LinkPool pool(HostId("test"));
+    auto stream = pool.openStream(address, "/run");
+    Recorder recorder;
+    stream->setObserver(&recorder);
+    runFor(std::chrono::ceil<std::chrono::milliseconds>(options.silenceTimeout) + std::chrono::milliseconds(100));
+    // The loop does not run meanwhile, so the pool cannot have noticed that the ping is overdue.
+    std::this_thread::sleep_for(options.pingTimeout);
+    silent.reset();
+    auto server = LinkServer::create(address);
+    REQUIRE(server);
+    (*server)->addControlHandler("echo", [](const HostId&, BytesView message, const auto& reply) { reply(Bytes(message.begin(), message.end())); });
+    CHECK(ask(pool, address, { 4, 2 }, MonotonicClock::now() + std::chrono::seconds(3)));
+    CHECK(recorder.error);
+}
+
 TEST_CASE("a reader that returns no credit stops the writer within the flow control window [runtime][link]")
 {
     constexpr std::size_t kMessageBytes = std::size_t { 16 } * 1024;
