Let a booking's call of the service outlive the caller whose time is over

What callers would see: a booking that ran, whose result nobody ever learned. The connection to the service was closed while the service worked, and every repeat with the same key waited for its whole time and was told that the booking was in progress.

Cause: the call of the service belonged to the request that had caused it. When the time of that request was over, it was answered with "in progress" and destroyed, and the call with it. The partition waited for the outcome of that call for as long as the process lived. With the usual time limits (20 s for the call, 25 s for the answer) this needs a call that begins more than 5 s after its request, because the key's position lay ahead of the log or another agent had released the booking late.

Evidence, before, with an answer after 3 s: CHECK( agent.dispatcher->activeRuns() == 1 ) values: CHECK( 0 == 1 ) and REQUIRE( std::holds_alternative<ServiceResponse>(*second.answer) ) values: REQUIRE( false )

A request that runs a booking now stays until the outcome is known, without its stream once it is answered. It counts as active, so a drain waits for it too. The time limits became a parameter, so that the test need not wait for 25 s.

--- a/src/hornbeamgate/runtime/agent/service_dispatcher.cpp
+++ b/src/hornbeamgate/runtime/agent/service_dispatcher.cpp
@@ -14,12 +14,21 @@
     /// All agents must map a key to the same partition; otherwise two agents could execute the same booking.
     constexpr std::uint32_t kBookingPartitions = 8;
     constexpr std::size_t kMaxAnswerBytes = std::size_t { 8 } * 1024 * 1024;
-    constexpr std::chrono::seconds kCallTimeout { 20 };
-    constexpr std::chrono::seconds kBookingTimeout { 25 };
+
+    BookingEvent bookingEvent(std::uint64_t attempt, const Result<HttpResponse, HttpError>& result)
+    {
+        if (!result)
+            return ServiceFailed { attempt, result.error().sent() ? CallFailure::OutcomeUnknown : CallFailure::BeforeSending };
+        ServiceResult stored;
+        stored.status = result->status;
+        stored.contentType = result->contentType;
+        stored.body.assign(result->body.begin(), result->body.end());
+        return ServiceAnswered { attempt, std::move(stored) };
+    }
 
 } // namespace
 
-/// Service call of one stream. `stream` is null after the entry daemon disconnected or cancelled.
+/// Service call of one stream. `stream` is null after the entry daemon disconnected, cancelled or was answered.
 struct ServiceDispatcher::Call {
     RequestId number;
     std::unique_ptr<RunStream> stream;
@@ -27,19 +36,21 @@
     RunOrder order;
     bool orderReceived = false;
     bool called = false; ///< this process called the service
+    bool isBookingRunning = false; ///< a booking's call of the service has no outcome yet
 };
 
-Result<std::unique_ptr<ServiceDispatcher>, std::string> ServiceDispatcher::create(const AgentContext& context, WriterId writer)
+Result<std::unique_ptr<ServiceDispatcher>, std::string> ServiceDispatcher::create(const AgentContext& context, WriterId writer, const ServiceTimeouts& timeouts)
 {
-    std::unique_ptr<ServiceDispatcher> dispatcher(new ServiceDispatcher(context));
+    std::unique_ptr<ServiceDispatcher> dispatcher(new ServiceDispatcher(context, timeouts));
     const auto partitions = dispatcher->createPartitions(writer);
     if (!partitions)
         return failure(partitions.error());
     return dispatcher;
 }
 
-ServiceDispatcher::ServiceDispatcher(const AgentContext& context)
+ServiceDispatcher::ServiceDispatcher(const AgentContext& context, const ServiceTimeouts& timeouts)
     : m_context(context)
+    , m_timeouts(timeouts)
     , m_log(context.settings->common.platform.log)
 {
 }
@@ -112,7 +123,7 @@
     request.booking = makeBookingId(order.workspace, order.service, *key);
     request.position = key->position;
     request.fingerprint = computeRequestFingerprint(order.method, order.path, order.body);
-    request.deadline = MonotonicClock::now() + kBookingTimeout;
+    request.deadline = MonotonicClock::now() + m_timeouts.booking;
     m_partitions[partition.value()]->feed(request);
 }
 
@@ -120,7 +131,7 @@
 {
     call.called = true;
     const auto request = makeServiceRequest(call.order, m_context.settings->endpointAddress);
-    call.fetch = HttpFetch::start(*m_context.client, request, kMaxAnswerBytes, MonotonicClock::now() + kCallTimeout,
+    call.fetch = HttpFetch::start(*m_context.client, request, kMaxAnswerBytes, MonotonicClock::now() + m_timeouts.call,
         [this, number = call.number](const Result<HttpResponse, HttpError>& result) { answer(number, serviceOutcome(result)); });
 }
 
@@ -134,25 +145,22 @@
     }
     auto& call = *found->second;
     call.called = true;
+    call.isBookingRunning = true;
     m_context.metrics->add(Counter::BookingsExecuted);
     const auto request = makeServiceRequest(call.order, m_context.settings->endpointAddress);
-    call.fetch = HttpFetch::start(*m_context.client, request, kMaxAnswerBytes, MonotonicClock::now() + kCallTimeout,
+    call.fetch = HttpFetch::start(*m_context.client, request, kMaxAnswerBytes, MonotonicClock::now() + m_timeouts.call,
         [this, partition, number = call.number, attempt = action.attempt](const Result<HttpResponse, HttpError>& result) { handleBookingResult(partition, number, attempt, result); });
 }
 
 void ServiceDispatcher::handleBookingResult(std::size_t partition, RequestId request, std::uint64_t attempt, const Result<HttpResponse, HttpError>& result)
 {
     logEvent(LogEvent::BookingSettled, { { "call", request.value() }, { "status", result ? std::to_string(result->status) : result.error().detail } });
-    if (!result) {
-        const auto kind = result.error().sent() ? CallFailure::OutcomeUnknown : CallFailure::BeforeSending;
-        m_partitions[partition]->feed(ServiceFailed { attempt, kind });
-        return;
-    }
-    ServiceResult storedResult;
-    storedResult.status = result->status;
-    storedResult.contentType = result->contentType;
-    storedResult.body.assign(result->body.begin(), result->body.end());
-    m_partitions[partition]->feed(ServiceAnswered { attempt, std::move(storedResult) });
+    m_calls.at(request)->isBookingRunning = false;
+    m_partitions[partition]->feed(bookingEvent(attempt, result));
+    // The caller of this call may have been answered earlier, at its deadline.
+    const auto found = m_calls.find(request);
+    if (found != m_calls.end() && !found->second->stream)
+        remove(found);
 }
 
 void ServiceDispatcher::replyToBooking(const BookingReply& action)
@@ -196,7 +204,12 @@
         remove(found);
         return;
     }
-    post([ended = std::shared_ptr<RunStream>(std::move(found->second->stream))] {});
+    releaseStream(*found->second);
+}
+
+void ServiceDispatcher::releaseStream(Call& call)
+{
+    post([ended = std::shared_ptr<RunStream>(std::move(call.stream))] {});
 }
 
 void ServiceDispatcher::streamDone(RunStream& stream)
@@ -213,6 +226,11 @@
 
 void ServiceDispatcher::remove(Calls::iterator call)
 {
+    // The outcome belongs to the booking, which other callers ask for too.
+    if (call->second->isBookingRunning) {
+        releaseStream(*call->second);
+        return;
+    }
     post([ended = std::shared_ptr<Call>(std::move(call->second))] {});
     m_calls.erase(call);
 }
