Do not open a stream on a connection attempt that has failed

What callers would see: a stream that could have gone on ended after one connection attempt to its agent instead of several.

Cause: when a connection attempt fails, its streams are told one after the other. A stream that an owner opened for its next attempt while it was told was queued on the same failed connection, which still counted as connecting, and failed with it at once. The attempts of a request were used up within one callback. For an established connection the pool opened a new one already.

A connection now counts as closed before it reports its end, so the pool replaces it for streams that are opened meanwhile.

--- a/src/hornbeamgate/runtime/link/link_connection.cpp
+++ b/src/hornbeamgate/runtime/link/link_connection.cpp
@@ -223,6 +223,7 @@
 
 void LinkConnection::sessionClosed(const LinkError& error)
 {
+    m_hasEnded = true;
     while (!m_pending.empty()) {
         auto* stream = *m_pending.begin();
         m_pending.erase(m_pending.begin());
--- a/src/hornbeamgate/runtime/link/link_connection.hpp
+++ b/src/hornbeamgate/runtime/link/link_connection.hpp
@@ -34,7 +34,8 @@
     void close(const LinkError& error);
     void announceShutdown();
 
-    bool closed() const { return m_session && m_session->closed(); }
+    /// Returns true once the connection has ended or could not be established, also while it reports that to its streams.
+    bool closed() const { return m_hasEnded || (m_session && m_session->closed()); }
     LinkTraffic traffic() const;
     LinkSession& session() { return *m_session; }
 
@@ -65,6 +66,7 @@
     Closed m_closed;
     std::function<void()> m_onBytesReceived;
     std::function<void()> m_streamEnded;
+    bool m_hasEnded = false;
     GObjectPtr<GCancellable> m_connecting;
     std::unique_ptr<LinkSession> m_session;
     std::map<LinkStreamId, LinkStream*> m_streams;
--- a/tests/runtime/link.test.cpp
+++ b/tests/runtime/link.test.cpp
@@ -196,6 +196,36 @@
     CHECK(runUntil([&] { return opened == 2; }));
 }
 
+TEST_CASE("a stream opened as a connection attempt fails does not fail with that attempt [runtime][link]")
+{
+    struct Resumer : LinkStreamObserver {
+        std::function<void()> resume;
+
+        void messageReceived(BytesView) override { }
+        void streamFinished() override { }
+        void streamFailed(const LinkError&) override { resume(); }
+    };
+    auto server = makeServer();
+    const auto address = server->address();
+    server.reset();
+    LinkPool pool(HostId("test"));
+    std::unique_ptr<LinkStream> next;
+    std::unique_ptr<LinkStream> held;
+    Recorder recorder;
+    Resumer resumer;
+    resumer.resume = [&] {
+        server = std::move(*LinkServer::create(address));
+        server->addStreamHandler("/run", [&](std::unique_ptr<LinkStream> stream, const HostId&) { held = std::move(stream); });
+        next = pool.openStream(address, "/run");
+        next->setObserver(&recorder);
+    };
+    auto stream = pool.openStream(address, "/run");
+    stream->setObserver(&resumer);
+    REQUIRE(runUntil([&] { return held || recorder.error; }));
+    CHECK(held);
+    CHECK_FALSE(recorder.error);
+}
+
 TEST_CASE("streams on an unresponsive connection fail and the connection is removed [runtime][link]")
 {
     // A listener that never accepts: the kernel completes the handshake, but no data is sent back.
