List a chunked response that breaks off between chunks as known red

A reset, and an end inside a chunk or before the length is reached, are errors (test in engine_run.test.cpp). Engines' streams end only with their last event and are not affected.

--- a/tests/runtime/engine_run.test.cpp
+++ b/tests/runtime/engine_run.test.cpp
@@ -142,3 +142,10 @@
             CHECK(answer.error().sent());
     }
 }
+
+TEST_CASE("a chunked HTTP response that breaks off between chunks is an error [runtime][http]")
+{
+    const std::string bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+    CHECK_FALSE(responseTo(bytes, true));
+    CHECK_FALSE(responseTo(bytes, false));
+}
