Mend what the review of the prompt quarantine found

Callers: a deadly prompt part could stay unfound, or sound prompts be refused for long. Differences under 0.5 s are no news now. - Runs of one outage looked like crashes in sequence by the reports' latency. A run must be sent 0.5 s after the first loss now. - Losses were reported with parts that had been answered since, so that receivers withheld them for a moment. - 64 losses of 150 parts made a report of 87,109 bytes, which no datagram holds: 32 losses of 16 parts now. - A set of parts was not narrowed by crashes under some of them in other prompts: 18 crashes of 18 requests, at most 8 now. - Peers' ages, times and counts are clamped, Retry-After is at most 10 s with jitter, state is bounded more tightly.

--- a/src/hornbeamgate/gateway/peer_report.cpp
+++ b/src/hornbeamgate/gateway/peer_report.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace hornbeamgate::gateway {
 
 using nlohmann::json;
@@ -14,7 +16,7 @@
     {
         json losses = json::array();
         for (const auto& loss : report.losses)
-            losses.push_back(json::array({ loss.run, loss.engine, loss.parts, loss.hasBegun, loss.sentAge.count(), loss.lostAge.count() }));
+            losses.push_back(json::array({ loss.run, loss.engine, loss.parts, loss.hasHead, loss.sentAge.count(), loss.lostAge.count() }));
         json answered = json::array();
         for (const auto& part : report.answered)
             answered.push_back(json::array({ part.part, part.age.count() }));
@@ -27,9 +29,13 @@
         return json::array({ std::move(losses), std::move(answered), std::move(survivors), std::move(quarantined) });
     }
 
+    /// Ages and remaining times of a quarantine lie below this.
+    constexpr std::chrono::hours kMaxQuarantineTime { 1 };
+    constexpr int kMaxStrikes = 16;
+
     milliseconds duration(const json& value)
     {
-        return milliseconds(value.get<std::int64_t>());
+        return std::clamp(milliseconds(value.get<std::int64_t>()), milliseconds(0), milliseconds(kMaxQuarantineTime));
     }
 
     QuarantineReport decodeQuarantine(const json& value)
@@ -42,7 +48,7 @@
         for (const auto& item : value.at(2))
             report.survivors.push_back({ item.at(0).get<EngineKey>(), duration(item.at(1)), duration(item.at(2)) });
         for (const auto& item : value.at(3))
-            report.quarantined.push_back({ item.at(0).get<std::set<PartKey>>(), duration(item.at(1)), duration(item.at(2)), item.at(3).get<int>() });
+            report.quarantined.push_back({ item.at(0).get<std::set<PartKey>>(), duration(item.at(1)), duration(item.at(2)), std::clamp(item.at(3).get<int>(), 0, kMaxStrikes) });
         return report;
     }
 
--- a/src/hornbeamgate/gateway/prompt_quarantine.cpp
+++ b/src/hornbeamgate/gateway/prompt_quarantine.cpp
@@ -14,15 +14,17 @@
     using std::chrono::seconds;
 
     /// Weights of an engine that was lost with a run that had begun its response, and with runs that all had not. Three of
-    /// the former or five of the latter are sufficient.
+    /// the former or four of the latter are sufficient.
     constexpr int kBegunWeight = 5;
-    constexpr int kUnbegunWeight = 3;
+    constexpr int kUnbegunWeight = 4;
     constexpr int kSufficientWeight = 15;
     /// Engines lost within this time with waiting runs only count once, since they may have been lost in one outage.
     constexpr milliseconds kOutageWindow { 200 };
     /// A connection that delivers data this long after another one to the same engine was lost shows that the engine did not
     /// crash. Covers the differences in latency between daemons.
     constexpr milliseconds kMaxDeliveryDelay { 500 };
+    /// Engines lost with parts after which their runs are not repeated, and after which a quarantine is narrowed to them.
+    constexpr std::size_t kRepeatedLosses = 2;
     /// Time for which observations count.
     constexpr minutes kEvidenceTimeout { 2 };
     /// Time of the first quarantine; it doubles with each further one, since every attempt costs an engine.
@@ -31,10 +33,11 @@
     /// Time after a quarantine in which a single loss starts the next one.
     constexpr minutes kProbation { 10 };
     /// Engines whose losses a daemon remembers, and lost runs of one engine; bound memory in an outage.
-    constexpr std::size_t kMaxEngines = 128;
-    constexpr std::size_t kMaxRunsPerEngine = 32;
+    constexpr std::size_t kMaxEngines = 64;
+    constexpr std::size_t kMaxRunsPerEngine = 16;
+    constexpr std::size_t kMaxQuarantines = 64;
     /// Losses and other items in one report, which has to fit into a datagram.
-    constexpr std::size_t kMaxReportedLosses = 64;
+    constexpr std::size_t kMaxReportedLosses = 32;
     constexpr std::size_t kMaxReportedItems = 64;
     constexpr seconds kCleanupInterval { 1 };
 
@@ -87,8 +90,9 @@
 
 bool PromptQuarantine::Case::isSufficient() const
 {
-    // Runs that were all under way before the first loss may have been ended by one outage.
-    return weight >= kSufficientWeight && newestSend >= earliestLoss;
+    // Runs that were all under way before the first loss may have been ended by one outage. Times that peers report are late
+    // by their reports' latency.
+    return weight >= kSufficientWeight && newestSend >= earliestLoss + kMaxDeliveryDelay;
 }
 
 std::optional<MonotonicTime> PromptQuarantine::withheldUntil(const std::vector<PartKey>& parts, MonotonicTime now) const
@@ -100,17 +104,29 @@
     return std::nullopt;
 }
 
-PromptQuarantine::Changes PromptQuarantine::runLost(const LostRun& run)
+bool PromptQuarantine::mayRepeat(const std::vector<PartKey>& parts) const
+{
+    return std::none_of(parts.begin(), parts.end(), [this](PartKey part) {
+        return static_cast<std::size_t>(std::count_if(m_losses.begin(), m_losses.end(), [part](const auto& losses) {
+            return std::any_of(losses.second.begin(), losses.second.end(), [part](const auto& entry) { return entry.second.hasHead && contains(entry.second.parts, part); });
+        })) >= kRepeatedLosses;
+    });
+}
+
+PromptQuarantine::Changes PromptQuarantine::runLost(const LostRun& lostRun)
 {
     Changes changes;
-    if (run.parts.empty())
+    if (lostRun.parts.empty())
         return changes;
+    auto run = lostRun;
+    if (run.parts.size() > kMaxParts)
+        run.parts.erase(run.parts.begin(), run.parts.end() - kMaxParts);
     const auto now = run.lostAt;
     dropExpired(now);
     m_localLosses.push_back(run);
     if (m_localLosses.size() > kMaxReportedLosses) {
         // Runs that had begun say more than the others.
-        const auto unbegun = std::find_if(m_localLosses.begin(), m_localLosses.end(), [](const LostRun& loss) { return !loss.hasBegun; });
+        const auto unbegun = std::find_if(m_localLosses.begin(), m_localLosses.end(), [](const LostRun& loss) { return !loss.hasHead; });
         m_localLosses.erase(unbegun == m_localLosses.end() ? m_localLosses.begin() : unbegun);
     }
     addLoss(run, now, changes);
@@ -138,7 +154,7 @@
         const bool isKnown = known != m_losses.end() && known->second.contains(loss.run);
         // Losses that say nothing any more are left out, except those of quarantined parts.
         if (loss.lostAt >= since && (isKnown || m_explainedUntil.contains(loss.engine)))
-            report.losses.push_back({ loss.run, loss.engine, loss.parts, loss.hasBegun, ageOf(loss.sentAt, now), ageOf(loss.lostAt, now) });
+            report.losses.push_back({ loss.run, loss.engine, isKnown ? known->second.at(loss.run).parts : loss.parts, loss.hasHead, ageOf(loss.sentAt, now), ageOf(loss.lostAt, now) });
     }
     for (const auto& [part, answer] : m_answered) {
         if (answer.isLocal && answer.at >= since && report.answered.size() < kMaxReportedItems)
@@ -166,7 +182,7 @@
     for (const auto& quarantined : report.quarantined)
         adopt(quarantined, now, changes);
     for (const auto& loss : report.losses)
-        addLoss({ loss.run, loss.engine, loss.parts, loss.hasBegun, now - loss.sentAge, now - loss.lostAge }, now, changes);
+        addLoss({ loss.run, loss.engine, loss.parts, loss.hasHead, now - loss.sentAge, now - loss.lostAge }, now, changes);
     return changes;
 }
 
@@ -183,6 +199,7 @@
         explain(run.engine, now);
         return;
     }
+    narrowQuarantines(run, now, changes);
     std::erase_if(run.parts, [&](PartKey part) {
         const auto answer = m_answered.find(part);
         return answer != m_answered.end() && answer->second.at >= run.lostAt;
@@ -192,10 +209,10 @@
     if (!m_losses.contains(run.engine))
         makeRoom();
     auto& runs = m_losses[run.engine];
-    const bool hasBegunRuns = !runs.empty() && runs.begin()->second.hasBegun;
-    if (hasBegunRuns && !run.hasBegun)
+    const bool hasRunsWithHead = !runs.empty() && runs.begin()->second.hasHead;
+    if (hasRunsWithHead && !run.hasHead)
         return;
-    if (run.hasBegun && !hasBegunRuns)
+    if (run.hasHead && !hasRunsWithHead)
         runs.clear();
     if (runs.size() >= kMaxRunsPerEngine || !runs.emplace(run.run, run).second)
         return;
@@ -210,6 +227,7 @@
     if (auto& answer = m_answered[part]; answer.at < answeredAt)
         answer = { answeredAt, isLocal };
     for (auto& quarantine : m_quarantines) {
+        std::erase_if(quarantine.partialLosses, [part](const auto& entry) { return entry.first.contains(part); });
         if (quarantine.lostAt >= answeredAt || quarantine.parts.erase(part) == 0)
             continue;
         if (quarantine.parts.empty())
@@ -231,9 +249,14 @@
     const auto losses = m_losses.find(engine);
     if (losses == m_losses.end())
         return;
-    m_survivals[engine] = survival;
-    std::erase_if(losses->second, [&survival](const auto& entry) {
-        return survival.sentAt <= entry.second.lostAt && survival.answeredAt >= entry.second.lostAt + kMaxDeliveryDelay;
+    auto& known = m_survivals[engine];
+    // Overlapping connections together show a longer life.
+    if (survival.sentAt <= known.answeredAt)
+        known = { std::min(known.sentAt, survival.sentAt), std::max(known.answeredAt, survival.answeredAt), survival.isLocal };
+    else
+        known = survival;
+    std::erase_if(losses->second, [&known](const auto& entry) {
+        return known.sentAt <= entry.second.lostAt && known.answeredAt >= entry.second.lostAt + kMaxDeliveryDelay;
     });
     if (losses->second.empty())
         m_losses.erase(losses);
@@ -247,14 +270,17 @@
         const auto answer = m_answered.find(part);
         return answer != m_answered.end() && answer->second.at > lostAt;
     });
-    if (parts.empty())
+    if (parts.empty() || (m_quarantines.size() >= kMaxQuarantines && !findQuarantine(parts)))
         return;
     auto* quarantine = findQuarantine(parts);
     const bool isNew = !quarantine || quarantine->until <= now;
     if (!quarantine)
-        quarantine = &m_quarantines.emplace_back(Quarantine { parts, {}, {}, 0 });
-    quarantine->until = std::max(quarantine->until, now + reported.remaining);
-    quarantine->lostAt = std::max(quarantine->lostAt, lostAt);
+        quarantine = &m_quarantines.emplace_back(Quarantine { parts, {}, {}, 0, {} });
+    // Each report is a little late, so a small difference is no news. Taking it would extend the quarantine with each report.
+    if (now + reported.remaining > quarantine->until + kMaxDeliveryDelay)
+        quarantine->until = now + reported.remaining;
+    if (lostAt > quarantine->lostAt + kMaxDeliveryDelay)
+        quarantine->lostAt = lostAt;
     quarantine->strikes = std::max(quarantine->strikes, reported.strikes);
     if (!isNew)
         return;
@@ -274,6 +300,25 @@
     return found == m_quarantines.end() ? nullptr : &*found;
 }
 
+void PromptQuarantine::narrowQuarantines(const LostRun& run, MonotonicTime now, Changes& changes)
+{
+    if (!run.hasHead || m_explainedUntil.contains(run.engine))
+        return;
+    for (auto& quarantine : m_quarantines) {
+        std::set<PartKey> recurring;
+        std::copy_if(run.parts.begin(), run.parts.end(), std::inserter(recurring, recurring.end()), [&quarantine](PartKey part) { return quarantine.parts.contains(part); });
+        if (recurring.empty() || now >= quarantine.until)
+            continue;
+        auto& engines = quarantine.partialLosses[recurring];
+        engines.insert(run.engine);
+        if (engines.size() < kRepeatedLosses)
+            continue;
+        quarantine.parts = recurring;
+        quarantine.partialLosses.clear();
+        changes.push_back({ recurring, true, kRepeatedLosses });
+    }
+}
+
 PromptQuarantine::Quarantine* PromptQuarantine::findQuarantine(const std::set<PartKey>& parts)
 {
     const auto found = std::find_if(m_quarantines.begin(), m_quarantines.end(), [&parts](const Quarantine& quarantine) { return quarantine.parts == parts; });
@@ -296,9 +341,9 @@
         if (made.isSufficient() && (!strongest || made.parts.size() > strongest->parts.size()))
             strongest = std::move(made);
     }
-    if (!strongest)
+    if (!strongest || m_quarantines.size() >= kMaxQuarantines)
         return;
-    extend(m_quarantines.emplace_back(Quarantine { strongest->parts, {}, {}, 0 }), strongest->newestLoss, now);
+    extend(m_quarantines.emplace_back(Quarantine { strongest->parts, {}, {}, 0, {} }), strongest->newestLoss, now);
     changes.push_back({ strongest->parts, true, strongest->engines.size() });
     for (const auto engine : strongest->engines)
         explain(engine, now);
@@ -318,7 +363,7 @@
             else
                 std::erase_if(made.parts, [&run](PartKey other) { return !contains(run.parts, other); });
             if (made.engines.insert(engine).second) {
-                if (run.hasBegun)
+                if (run.hasHead)
                     made.weight += kBegunWeight;
                 else
                     unbegunLosses.push_back(run.lostAt);
--- a/src/hornbeamgate/gateway/prompt_quarantine.hpp
+++ b/src/hornbeamgate/gateway/prompt_quarantine.hpp
@@ -29,7 +29,7 @@
     RunKey run = 0;
     EngineKey engine = 0;
     std::vector<PartKey> parts; ///< parts of the prompt that other requests may share
-    bool hasBegun = false; ///< the head of the response had arrived
+    bool hasHead = false; ///< the head of the response had arrived
     MonotonicTime sentAt {};
     MonotonicTime lostAt {};
 };
@@ -40,7 +40,7 @@
         RunKey run = 0;
         EngineKey engine = 0;
         std::vector<PartKey> parts;
-        bool hasBegun = false;
+        bool hasHead = false;
         std::chrono::milliseconds sentAge {};
         std::chrono::milliseconds lostAge {};
     };
@@ -86,11 +86,17 @@
     };
     using Changes = std::vector<Change>;
 
+    /// Parts of one prompt that are taken into account; the last ones, if a prompt has more.
+    static constexpr std::size_t kMaxParts = 16;
+
     /// Returns until when a request with these parts is withheld, or nothing if it may be sent.
     std::optional<MonotonicTime> withheldUntil(const std::vector<PartKey>& parts, MonotonicTime now) const;
+    /// Returns whether a run with these parts that was lost may be repeated on another engine. It may not if two engines
+    /// were lost with the parts already.
+    bool mayRepeat(const std::vector<PartKey>& parts) const;
 
-    /// Records a run of this daemon that was lost at `run.lostAt`, which is now.
-    Changes runLost(const LostRun& run);
+    /// Records a run of this daemon that was lost at `lostRun.lostAt`, which is now.
+    Changes runLost(const LostRun& lostRun);
     /// Records the first event of a run of this daemon.
     Changes runAnswered(const std::vector<PartKey>& parts, MonotonicTime now);
     /// Records bytes of a run on a connection that was in use at `sentAt` already.
@@ -116,6 +122,8 @@
         MonotonicTime until;
         MonotonicTime lostAt; ///< newest loss with all of the parts
         int strikes = 0; ///< how often the parts were quarantined
+        /// Engines lost since with some of the parts and other ones, by the parts that recurred.
+        std::map<std::set<PartKey>, std::set<EngineKey>> partialLosses;
     };
     /// What the known losses say against one part.
     struct Case {
@@ -133,6 +141,8 @@
     void addSurvival(EngineKey engine, const Survival& survival);
     void adopt(const QuarantineReport::Quarantined& reported, MonotonicTime now, Changes& changes);
     Quarantine* findQuarantineOf(const LostRun& run);
+    /// Narrows quarantines to the parts that engines are lost with in other prompts too.
+    void narrowQuarantines(const LostRun& run, MonotonicTime now, Changes& changes);
     Quarantine* findQuarantine(const std::set<PartKey>& parts);
     bool isSuspect(PartKey part) const;
     /// Quarantines some of `parts` if the known losses are sufficient.
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -39,6 +39,8 @@
     /// Minimum retry time for refused callers; addRetryJitter() adds jitter so that they do not all return at once.
     constexpr milliseconds kMinRetryAfter { 100 };
     constexpr milliseconds kDefaultRetryAfter { 400 };
+    /// Maximum retry time for requests whose prompts are quarantined.
+    constexpr milliseconds kMaxQuarantineRetryAfter { 10000 };
     /// Number of route priority levels; a workspace's priority takes precedence over the route's.
     constexpr int kRoutePriorityLevels = 3;
     /// Fraction of the latency objective after which a non-streaming request that may run again is retried on another
@@ -204,10 +206,13 @@
 bool GatewayRequest::refuseQuarantined(MonotonicTime now)
 {
     const auto until = m_state.quarantine.withheldUntil(m_sharedParts, now);
-    if (!until)
+    const bool mayRepeat = !m_mayHaveExecuted || m_hasBegunResponse || m_state.quarantine.mayRepeat(m_sharedParts);
+    if (!until && mayRepeat)
         return false;
     m_state.metrics.add(Counter::RequestsQuarantined);
-    refuse({ m_mayHaveExecuted ? kBadGateway : kUnavailable, "engines crash under a part of the prompt", std::chrono::ceil<milliseconds>(*until - now) });
+    // An answer to another request may end the quarantine earlier.
+    const auto wait = until ? std::min(std::chrono::ceil<milliseconds>(*until - now), kMaxQuarantineRetryAfter) : kDefaultRetryAfter;
+    refuse({ m_mayHaveExecuted ? kBadGateway : kUnavailable, "engines crash under a part of the prompt", addRetryJitter(wait) });
     return true;
 }
 
@@ -277,7 +282,7 @@
     m_sendNumber = ++m_state.sendCount;
     m_sentAt = now;
     m_isSending = true;
-    m_hasRunBegun = false;
+    m_hasFirstEvent = false;
     m_engine = engineKey(endpoint.id, endpoint.incarnation);
     ++m_sendCount;
     m_responseHead.reset();
@@ -374,8 +379,10 @@
         return;
     m_overdueTimer.clear();
     m_state.loads.answerBegan(m_endpoint, m_sendNumber);
-    if (!m_hasRunBegun)
+    if (!m_hasFirstEvent)
         recordAnswer(MonotonicClock::now());
+    else
+        m_state.quarantine.engineAnswered(m_engine, m_sentAt, MonotonicClock::now());
     if (!m_hasBegunResponse) {
         m_timeToFirstPiece = MonotonicClock::now() - m_message.headArrived;
         m_state.metrics.observe(Latency::TimeToFirstPiece, *m_timeToFirstPiece);
@@ -415,7 +422,7 @@
 
 void GatewayRequest::recordAnswer(MonotonicTime now)
 {
-    m_hasRunBegun = true;
+    m_hasFirstEvent = true;
     logQuarantineChanges(m_state.quarantine.runAnswered(m_sharedParts, now));
     m_state.quarantine.engineAnswered(m_engine, m_sentAt, now);
 }
@@ -423,12 +430,13 @@
 void GatewayRequest::onComplete()
 {
     // A stream without a length ends with its connection, also if the engine crashes before the first event.
-    const bool endsBeforeFirstEvent = m_responseMode == ResponseMode::Streamed && m_responseHead->endsWithConnection && !m_hasRunBegun;
+    const bool endsBeforeFirstEvent = m_responseMode == ResponseMode::Streamed && m_responseHead->endsWithConnection && !m_hasFirstEvent;
     if (endsBeforeFirstEvent || m_relay.isInsideEvent()) {
         onRunLost(endsBeforeFirstEvent ? "the stream ended before its first event" : "the stream ended inside an event");
         return;
     }
-    if (!m_responseMetadata.isNotExecuted)
+    // An error says nothing about the prompt.
+    if (m_responseMetadata.isSigned && m_responseHead->status / kStatusClass == kSuccessClass)
         recordAnswer(MonotonicClock::now());
     if (m_responseMode == ResponseMode::Buffered) {
         handleBufferedResponse();
@@ -527,7 +535,8 @@
 
 void GatewayRequest::onRunLost(std::string_view reason)
 {
-    if (!m_hasRunBegun) {
+    // A resumed stream may have no events left, and engines have answered its prompt before.
+    if (!m_hasFirstEvent && !m_relay.lastId()) {
         const auto now = MonotonicClock::now();
         logQuarantineChanges(m_state.quarantine.runLost({ runKey(m_metadata.requestId, m_sendCount), m_engine, m_sharedParts, m_responseHead.has_value(), m_sentAt, now }));
     }
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -111,7 +111,7 @@
     std::uint64_t m_sendNumber = 0;
     MonotonicTime m_sentAt {};
     bool m_isSending = false;
-    bool m_hasRunBegun = false; ///< the endpoint has answered the current send with an event or a complete response
+    bool m_hasFirstEvent = false; ///< the endpoint has answered the current send with an event or a complete response
     std::optional<Duration> m_timeToFirstPiece; ///< measured from the arrival of the request
     std::optional<WeightsVersion> m_requiredWeights;
     std::unique_ptr<HttpExchange> m_exchange;
