Trust peers' reports again after a standstill is over

A gateway in a fleet with short report intervals ignored its peers' quarantines for ever after its first pause: each report, 200 ms after the one before, found the 300 ms of distrust still running and began them anew.

The decision is a state machine of its own now, StandstillDetector: only a late timer begins the distrust.

Names of PromptQuarantine are the field's: Evidence, collectEvidence, evaluate, attribute, renewals.

--- a/src/hornbeamgate/gateway/peer_report.cpp
+++ b/src/hornbeamgate/gateway/peer_report.cpp
@@ -25,13 +25,13 @@
             survivors.push_back(json::array({ engine.engine, engine.sentAge.count(), engine.answeredAge.count() }));
         json quarantined = json::array();
         for (const auto& part : report.quarantined)
-            quarantined.push_back(json::array({ part.parts, part.remaining.count(), part.lostAge.count(), part.strikes }));
+            quarantined.push_back(json::array({ part.parts, part.remaining.count(), part.lostAge.count(), part.renewals }));
         return json::array({ std::move(losses), std::move(answered), std::move(survivors), std::move(quarantined) });
     }
 
     /// Ages and remaining times of a quarantine lie below this.
     constexpr std::chrono::hours kMaxQuarantineTime { 1 };
-    constexpr int kMaxStrikes = 16;
+    constexpr int kMaxRenewals = 16;
 
     milliseconds duration(const json& value)
     {
@@ -48,7 +48,7 @@
         for (const auto& item : value.at(2))
             report.survivors.push_back({ item.at(0).get<EngineKey>(), duration(item.at(1)), duration(item.at(2)) });
         for (const auto& item : value.at(3))
-            report.quarantined.push_back({ item.at(0).get<std::set<PartKey>>(), duration(item.at(1)), duration(item.at(2)), std::clamp(item.at(3).get<int>(), 0, kMaxStrikes) });
+            report.quarantined.push_back({ item.at(0).get<std::set<PartKey>>(), duration(item.at(1)), duration(item.at(2)), std::clamp(item.at(3).get<int>(), 0, kMaxRenewals) });
         return report;
     }
 
--- a/src/hornbeamgate/gateway/prompt_quarantine.cpp
+++ b/src/hornbeamgate/gateway/prompt_quarantine.cpp
@@ -15,14 +15,13 @@
 
     /// Weights of an engine that was lost with a run that had begun its response, and with runs that all had not. Three of
     /// the former or four of the latter are sufficient.
-    constexpr int kBegunWeight = 5;
-    constexpr int kUnbegunWeight = 4;
+    constexpr int kWeightWithHead = 5;
+    constexpr int kWeightWithoutHead = 4;
     constexpr int kSufficientWeight = 15;
     /// Engines lost within this time with waiting runs only count once, since they may have been lost in one outage.
     constexpr milliseconds kOutageWindow { 200 };
-    /// A connection that delivers data this long after another one to the same engine was lost shows that the engine did not
-    /// crash. Covers the differences in latency between daemons.
-    constexpr milliseconds kMaxDeliveryDelay { 500 };
+    /// Latency of responses and of reports between daemons. Events that are less apart may have happened in another order.
+    constexpr milliseconds kMaxLatency { 500 };
     /// Engines lost with parts after which their runs are not repeated, and after which a quarantine is narrowed to them.
     constexpr std::size_t kRepeatedLosses = 2;
     /// Time for which observations count.
@@ -31,7 +30,7 @@
     constexpr minutes kFirstQuarantine { 2 };
     constexpr int kMaxDoublings = 4;
     /// Time after a quarantine in which a single loss starts the next one.
-    constexpr minutes kProbation { 10 };
+    constexpr minutes kRenewalWindow { 10 };
     /// Engines whose losses a daemon remembers, and lost runs of one engine; bound memory in an outage.
     constexpr std::size_t kMaxEngines = 64;
     constexpr std::size_t kMaxRunsPerEngine = 16;
@@ -88,11 +87,11 @@
     return stableHash(requestId, static_cast<std::uint64_t>(send));
 }
 
-bool PromptQuarantine::Case::isSufficient() const
+bool PromptQuarantine::Evidence::isSufficient() const
 {
     // Runs that were all under way before the first loss may have been ended by one outage. Times that peers report are late
     // by their reports' latency.
-    return weight >= kSufficientWeight && newestSend >= earliestLoss + kMaxDeliveryDelay;
+    return weight >= kSufficientWeight && newestSend >= earliestLoss + kMaxLatency;
 }
 
 std::optional<MonotonicTime> PromptQuarantine::withheldUntil(const std::vector<PartKey>& parts, MonotonicTime now) const
@@ -126,8 +125,8 @@
     m_localLosses.push_back(run);
     if (m_localLosses.size() > kMaxReportedLosses) {
         // Runs that had begun say more than the others.
-        const auto unbegun = std::find_if(m_localLosses.begin(), m_localLosses.end(), [](const LostRun& loss) { return !loss.hasHead; });
-        m_localLosses.erase(unbegun == m_localLosses.end() ? m_localLosses.begin() : unbegun);
+        const auto waiting = std::find_if(m_localLosses.begin(), m_localLosses.end(), [](const LostRun& loss) { return !loss.hasHead; });
+        m_localLosses.erase(waiting == m_localLosses.end() ? m_localLosses.begin() : waiting);
     }
     addLoss(run, now, changes);
     return changes;
@@ -153,7 +152,7 @@
         const auto known = m_losses.find(loss.engine);
         const bool isKnown = known != m_losses.end() && known->second.contains(loss.run);
         // Losses that say nothing any more are left out, except those of quarantined parts.
-        if (loss.lostAt >= since && (isKnown || m_explainedUntil.contains(loss.engine)))
+        if (loss.lostAt >= since && (isKnown || m_attributedUntil.contains(loss.engine)))
             report.losses.push_back({ loss.run, loss.engine, isKnown ? known->second.at(loss.run).parts : loss.parts, loss.hasHead, ageOf(loss.sentAt, now), ageOf(loss.lostAt, now) });
     }
     for (const auto& [part, answer] : m_answered) {
@@ -166,7 +165,7 @@
     }
     for (const auto& quarantine : m_quarantines) {
         if (now < quarantine.until && report.quarantined.size() < kMaxReportedItems)
-            report.quarantined.push_back({ quarantine.parts, ageOf(now, quarantine.until), ageOf(quarantine.lostAt, now), quarantine.strikes });
+            report.quarantined.push_back({ quarantine.parts, ageOf(now, quarantine.until), ageOf(quarantine.lostAt, now), quarantine.renewals });
     }
     return report;
 }
@@ -188,7 +187,7 @@
 
 void PromptQuarantine::addLoss(LostRun run, MonotonicTime now, Changes& changes)
 {
-    if (const auto survival = m_survivals.find(run.engine); survival != m_survivals.end() && survival->second.sentAt <= run.lostAt && survival->second.answeredAt >= run.lostAt + kMaxDeliveryDelay)
+    if (const auto survival = m_survivals.find(run.engine); survival != m_survivals.end() && survival->second.sentAt <= run.lostAt && survival->second.answeredAt >= run.lostAt + kMaxLatency)
         return;
     if (auto* quarantine = findQuarantineOf(run)) {
         quarantine->lostAt = std::max(quarantine->lostAt, run.lostAt);
@@ -196,7 +195,7 @@
             extend(*quarantine, run.lostAt, now);
             changes.push_back({ quarantine->parts, true, 1 });
         }
-        explain(run.engine, now);
+        attribute(run.engine, now);
         return;
     }
     narrowQuarantines(run, now, changes);
@@ -204,7 +203,7 @@
         const auto answer = m_answered.find(part);
         return answer != m_answered.end() && answer->second.at >= run.lostAt;
     });
-    if (run.parts.empty() || m_explainedUntil.contains(run.engine))
+    if (run.parts.empty() || m_attributedUntil.contains(run.engine))
         return;
     if (!m_losses.contains(run.engine))
         makeRoom();
@@ -216,13 +215,13 @@
         runs.clear();
     if (runs.size() >= kMaxRunsPerEngine || !runs.emplace(run.run, run).second)
         return;
-    judge(run.parts, now, changes);
+    evaluate(run.parts, now, changes);
 }
 
 void PromptQuarantine::addAnswer(PartKey part, MonotonicTime answeredAt, bool isLocal, Changes& changes)
 {
     const auto isHere = [part](const Quarantine& quarantine) { return quarantine.parts.contains(part); };
-    if (!isSuspect(part) && std::none_of(m_quarantines.begin(), m_quarantines.end(), isHere))
+    if (!isImplicated(part) && std::none_of(m_quarantines.begin(), m_quarantines.end(), isHere))
         return;
     if (auto& answer = m_answered[part]; answer.at < answeredAt)
         answer = { answeredAt, isLocal };
@@ -256,7 +255,7 @@
     else
         known = survival;
     std::erase_if(losses->second, [&known](const auto& entry) {
-        return known.sentAt <= entry.second.lostAt && known.answeredAt >= entry.second.lostAt + kMaxDeliveryDelay;
+        return known.sentAt <= entry.second.lostAt && known.answeredAt >= entry.second.lostAt + kMaxLatency;
     });
     if (losses->second.empty())
         m_losses.erase(losses);
@@ -277,21 +276,21 @@
     if (!quarantine)
         quarantine = &m_quarantines.emplace_back(Quarantine { parts, {}, {}, 0, {} });
     // Each report is a little late, so a small difference is no news. Taking it would extend the quarantine with each report.
-    if (now + reported.remaining > quarantine->until + kMaxDeliveryDelay)
+    if (now + reported.remaining > quarantine->until + kMaxLatency)
         quarantine->until = now + reported.remaining;
-    if (lostAt > quarantine->lostAt + kMaxDeliveryDelay)
+    if (lostAt > quarantine->lostAt + kMaxLatency)
         quarantine->lostAt = lostAt;
-    quarantine->strikes = std::max(quarantine->strikes, reported.strikes);
+    quarantine->renewals = std::max(quarantine->renewals, reported.renewals);
     if (!isNew)
         return;
-    std::set<EngineKey> explained;
+    std::set<EngineKey> attributed;
     for (const auto& [engine, runs] : m_losses) {
         if (std::any_of(runs.begin(), runs.end(), [&parts](const auto& entry) { return containsAll(entry.second.parts, parts); }))
-            explained.insert(engine);
+            attributed.insert(engine);
     }
-    changes.push_back({ parts, true, explained.size() });
-    for (const auto engine : explained)
-        explain(engine, now);
+    changes.push_back({ parts, true, attributed.size() });
+    for (const auto engine : attributed)
+        attribute(engine, now);
 }
 
 PromptQuarantine::Quarantine* PromptQuarantine::findQuarantineOf(const LostRun& run)
@@ -302,7 +301,7 @@
 
 void PromptQuarantine::narrowQuarantines(const LostRun& run, MonotonicTime now, Changes& changes)
 {
-    if (!run.hasHead || m_explainedUntil.contains(run.engine))
+    if (!run.hasHead || m_attributedUntil.contains(run.engine))
         return;
     for (auto& quarantine : m_quarantines) {
         std::set<PartKey> recurring;
@@ -325,18 +324,18 @@
     return found == m_quarantines.end() ? nullptr : &*found;
 }
 
-bool PromptQuarantine::isSuspect(PartKey part) const
+bool PromptQuarantine::isImplicated(PartKey part) const
 {
     return std::any_of(m_losses.begin(), m_losses.end(), [part](const auto& losses) {
         return std::any_of(losses.second.begin(), losses.second.end(), [part](const auto& entry) { return contains(entry.second.parts, part); });
     });
 }
 
-void PromptQuarantine::judge(const std::vector<PartKey>& parts, MonotonicTime now, Changes& changes)
+void PromptQuarantine::evaluate(const std::vector<PartKey>& parts, MonotonicTime now, Changes& changes)
 {
-    std::optional<Case> strongest;
+    std::optional<Evidence> strongest;
     for (const auto part : parts) {
-        auto made = makeCase(part);
+        auto made = collectEvidence(part);
         // The largest set of parts withholds the fewest requests.
         if (made.isSufficient() && (!strongest || made.parts.size() > strongest->parts.size()))
             strongest = std::move(made);
@@ -346,13 +345,13 @@
     extend(m_quarantines.emplace_back(Quarantine { strongest->parts, {}, {}, 0, {} }), strongest->newestLoss, now);
     changes.push_back({ strongest->parts, true, strongest->engines.size() });
     for (const auto engine : strongest->engines)
-        explain(engine, now);
+        attribute(engine, now);
 }
 
-PromptQuarantine::Case PromptQuarantine::makeCase(PartKey part) const
+PromptQuarantine::Evidence PromptQuarantine::collectEvidence(PartKey part) const
 {
-    Case made;
-    std::vector<MonotonicTime> unbegunLosses;
+    Evidence made;
+    std::vector<MonotonicTime> lossesWithoutHead;
     for (const auto& [engine, runs] : m_losses) {
         for (const auto& entry : runs) {
             const auto& run = entry.second;
@@ -364,30 +363,30 @@
                 std::erase_if(made.parts, [&run](PartKey other) { return !contains(run.parts, other); });
             if (made.engines.insert(engine).second) {
                 if (run.hasHead)
-                    made.weight += kBegunWeight;
+                    made.weight += kWeightWithHead;
                 else
-                    unbegunLosses.push_back(run.lostAt);
+                    lossesWithoutHead.push_back(run.lostAt);
             }
             made.earliestLoss = std::min(made.earliestLoss, run.lostAt);
             made.newestLoss = std::max(made.newestLoss, run.lostAt);
             made.newestSend = std::max(made.newestSend, run.sentAt);
         }
     }
-    made.weight += kUnbegunWeight * countSeparate(std::move(unbegunLosses));
+    made.weight += kWeightWithoutHead * countSeparate(std::move(lossesWithoutHead));
     return made;
 }
 
 void PromptQuarantine::extend(Quarantine& quarantine, MonotonicTime lostAt, MonotonicTime now)
 {
-    quarantine.until = now + kFirstQuarantine * (1 << std::min(quarantine.strikes, kMaxDoublings));
+    quarantine.until = now + kFirstQuarantine * (1 << std::min(quarantine.renewals, kMaxDoublings));
     quarantine.lostAt = std::max(quarantine.lostAt, lostAt);
-    ++quarantine.strikes;
+    ++quarantine.renewals;
 }
 
-void PromptQuarantine::explain(EngineKey engine, MonotonicTime now)
+void PromptQuarantine::attribute(EngineKey engine, MonotonicTime now)
 {
     m_losses.erase(engine);
-    m_explainedUntil[engine] = now + kEvidenceTimeout;
+    m_attributedUntil[engine] = now + kEvidenceTimeout;
 }
 
 void PromptQuarantine::makeRoom()
@@ -414,8 +413,8 @@
     std::erase_if(m_losses, [](const auto& entry) { return entry.second.empty(); });
     std::erase_if(m_answered, [&](const auto& entry) { return isOld(entry.second.at); });
     std::erase_if(m_survivals, [&](const auto& entry) { return isOld(entry.second.answeredAt); });
-    std::erase_if(m_explainedUntil, [now](const auto& entry) { return entry.second <= now; });
-    std::erase_if(m_quarantines, [now](const Quarantine& quarantine) { return quarantine.until + kProbation <= now; });
+    std::erase_if(m_attributedUntil, [now](const auto& entry) { return entry.second <= now; });
+    std::erase_if(m_quarantines, [now](const Quarantine& quarantine) { return quarantine.until + kRenewalWindow <= now; });
     while (!m_localLosses.empty() && isOld(m_localLosses.front().lostAt))
         m_localLosses.pop_front();
 }
--- a/src/hornbeamgate/gateway/prompt_quarantine.hpp
+++ b/src/hornbeamgate/gateway/prompt_quarantine.hpp
@@ -57,7 +57,7 @@
         std::set<PartKey> parts;
         std::chrono::milliseconds remaining {};
         std::chrono::milliseconds lostAge {}; ///< of the newest run that was lost with these parts
-        int strikes = 0;
+        int renewals = 0;
     };
 
     std::vector<Loss> losses;
@@ -71,7 +71,7 @@
 /// A crash ends every run of its engine, and the one that caused it usually had begun its response. Parts are quarantined
 /// when they were lost like that on several engines, one of them reached after an earlier loss was known, and no run with
 /// them was answered anywhere since. Parts that were always lost together are withheld only together, so that sound requests
-/// which share some of them are served; an answer to one of these then shows which part is to blame. Daemons share their
+/// which share some of them are served; an answer to one of these then shows which part causes the crashes. Daemons share their
 /// observations, since each sees only a few losses.
 ///
 /// Designed for one prompt part among many requests that crashes an engine each time, whichever daemon receives it, mixed
@@ -121,12 +121,12 @@
         std::set<PartKey> parts;
         MonotonicTime until;
         MonotonicTime lostAt; ///< newest loss with all of the parts
-        int strikes = 0; ///< how often the parts were quarantined
+        int renewals = 0; ///< how often the parts were quarantined
         /// Engines lost since with some of the parts and other ones, by the parts that recurred.
         std::map<std::set<PartKey>, std::set<EngineKey>> partialLosses;
     };
     /// What the known losses say against one part.
-    struct Case {
+    struct Evidence {
         std::set<PartKey> parts; ///< this part and those that were lost with it each time
         std::set<EngineKey> engines;
         int weight = 0;
@@ -144,21 +144,22 @@
     /// Narrows quarantines to the parts that engines are lost with in other prompts too.
     void narrowQuarantines(const LostRun& run, MonotonicTime now, Changes& changes);
     Quarantine* findQuarantine(const std::set<PartKey>& parts);
-    bool isSuspect(PartKey part) const;
+    /// Returns whether losses of the part are known that no quarantine accounts for.
+    bool isImplicated(PartKey part) const;
     /// Quarantines some of `parts` if the known losses are sufficient.
-    void judge(const std::vector<PartKey>& parts, MonotonicTime now, Changes& changes);
-    Case makeCase(PartKey part) const;
+    void evaluate(const std::vector<PartKey>& parts, MonotonicTime now, Changes& changes);
+    Evidence collectEvidence(PartKey part) const;
     void extend(Quarantine& quarantine, MonotonicTime lostAt, MonotonicTime now);
     /// Removes an engine whose crash is known to be due to quarantined parts.
-    void explain(EngineKey engine, MonotonicTime now);
+    void attribute(EngineKey engine, MonotonicTime now);
     void makeRoom();
     void dropExpired(MonotonicTime now);
 
     std::map<EngineKey, RunsOfEngine> m_losses; ///< runs that had begun, or all of them if none had
     std::vector<Quarantine> m_quarantines; ///< including those whose time is over, which return at their next loss
-    std::map<PartKey, Answer> m_answered; ///< newest answer to a run with a part that was a suspect
+    std::map<PartKey, Answer> m_answered; ///< newest answer to a run with a part that had losses
     std::map<EngineKey, Survival> m_survivals; ///< of engines with losses
-    std::map<EngineKey, MonotonicTime> m_explainedUntil;
+    std::map<EngineKey, MonotonicTime> m_attributedUntil; ///< engines whose crash is due to quarantined parts
     std::deque<LostRun> m_localLosses;
     MonotonicTime m_nextCleanup {};
 };
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -100,7 +100,7 @@
     std::set<EndpointId> m_triedEndpoints;
     int m_sendCount = 0; ///< endpoints that may have received the request
     int m_connectFailures = 0;
-    std::string_view m_resendCause = "none";
+    std::string_view m_resendCause = "none"; ///< how the previous send ended; for the log
     bool m_mayHaveExecuted = false;
     bool m_hasBegunResponse = false;
     bool m_isFinished = false;
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -24,9 +24,6 @@
     /// Number of reports that include each observation, since individual reports may be lost.
     constexpr int kReportsPerObservation = 3;
     constexpr milliseconds kFetchTimeout { 1000 };
-    /// A report timer that fires later than this shows that the daemon stood still. Reports that arrived meanwhile look newer
-    /// than they are for this long.
-    constexpr milliseconds kMaxTimerDelay { 300 };
     constexpr std::string_view kRecordsPath = "/records/";
     constexpr int kNotFound = 404;
     constexpr int kOk = 200;
@@ -75,16 +72,10 @@
 void PeerTask::report()
 {
     const auto now = MonotonicClock::now();
-    if (hasStoodStill(now))
-        m_distrustReportsUntil = now + kMaxTimerDelay;
+    const auto next = now + reportInterval();
+    m_standstills.timerFired(now, next);
     sendReport();
-    m_nextReport = now + reportInterval();
-    m_timer.set(m_nextReport);
-}
-
-bool PeerTask::hasStoodStill(MonotonicTime now) const
-{
-    return now > m_nextReport + kMaxTimerDelay || now < m_distrustReportsUntil;
+    m_timer.set(next);
 }
 
 milliseconds PeerTask::reportInterval() const
@@ -173,7 +164,7 @@
         applyLoaded(weights);
     m_state.blocks.recordPeerUses(report->blockUses, now);
     m_state.loads.setPeerPendingPrefillTokens(report->host, report->pendingPrefillTokens, now);
-    if (!hasStoodStill(now))
+    if (!m_standstills.mayReadBacklog(now))
         logQuarantineChanges(m_state.quarantine.recordPeerReport(report->quarantine, now));
     fetchNewerRecords(*report);
 }
--- a/src/hornbeamgate/runtime/gateway/peer_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hornbeamgate/gateway/peer_report.hpp"
+#include "hornbeamgate/gateway/standstill_detector.hpp"
 #include "hornbeamgate/runtime/gateway/directory_task.hpp"
 #include "hornbeamgate/runtime/net/http_acceptor.hpp"
 #include "hornbeamgate/runtime/net/http_call.hpp"
@@ -29,8 +30,6 @@
     PeerTask(GatewayState& state, DirectoryTask& directory, DaemonEntry self);
 
     void report();
-    /// Returns true shortly after a pause of this daemon.
-    bool hasStoodStill(MonotonicTime now) const;
     std::chrono::milliseconds reportInterval() const;
     void onDatagram(std::string_view bytes);
     void applyLoaded(const LoadedWeights& weights);
@@ -50,8 +49,7 @@
     std::map<EndpointId, MonotonicTime> m_loading;
     std::vector<std::pair<LoadedWeights, MonotonicTime>> m_loaded; ///< each with the time until which it is reported
     Timer m_timer;
-    MonotonicTime m_nextReport = MonotonicTime::max() - std::chrono::hours(1);
-    MonotonicTime m_distrustReportsUntil {};
+    StandstillDetector m_standstills;
 };
 
 } // namespace hornbeamgate::gateway
--- a/tests/gateway/peer_report.test.cpp
+++ b/tests/gateway/peer_report.test.cpp
@@ -66,7 +66,7 @@
     CHECK(decoded->quarantine.quarantined[0].parts == std::set<PartKey> { 7, 8 });
     CHECK(decoded->quarantine.quarantined[0].remaining == 110s);
     CHECK(decoded->quarantine.quarantined[0].lostAge == 40ms);
-    CHECK(decoded->quarantine.quarantined[0].strikes == 2);
+    CHECK(decoded->quarantine.quarantined[0].renewals == 2);
 }
 
 TEST_CASE("withdrawn records and binary values are unchanged after encoding and decoding [peers]")
