Join twins in the prompt quarantine and the request tests

The condition that an engine outlived a loss stood twice, a quarantine was looked up twice, kMaxParts was public for no user, and EventRelay kept a flag that nobody reads. The request tests repeated one prompt's header and the set-up of a second endpoint, for which the fixture has addFallback(). No behaviour and no assertion changes.

--- a/src/hornbeamgate/gateway/event_relay.cpp
+++ b/src/hornbeamgate/gateway/event_relay.cpp
@@ -78,7 +78,6 @@
         return std::nullopt;
     }
     m_lastId = lastId;
-    m_hasForwardedEvents = m_hasForwardedEvents || !forwarded.empty();
     return forwarded;
 }
 
--- a/src/hornbeamgate/gateway/event_relay.hpp
+++ b/src/hornbeamgate/gateway/event_relay.hpp
@@ -36,12 +36,10 @@
     void startRun() { m_partial.clear(); }
 
     std::optional<std::uint64_t> lastId() const { return m_lastId; }
-    bool hasForwardedEvents() const { return m_hasForwardedEvents; }
 
 private:
     std::string m_partial;
     std::optional<std::uint64_t> m_lastId;
-    bool m_hasForwardedEvents = false;
 };
 
 } // namespace hornbeamgate::gateway
--- a/src/hornbeamgate/gateway/prompt_quarantine.cpp
+++ b/src/hornbeamgate/gateway/prompt_quarantine.cpp
@@ -35,6 +35,8 @@
     constexpr std::size_t kMaxEngines = 64;
     constexpr std::size_t kMaxRunsPerEngine = 16;
     constexpr std::size_t kMaxQuarantines = 64;
+    /// Parts of one prompt that are taken into account; the last ones, if a prompt has more.
+    constexpr std::size_t kMaxParts = 16;
     /// Losses and other items in one report, which has to fit into a datagram.
     constexpr std::size_t kMaxReportedLosses = 32;
     constexpr std::size_t kMaxReportedItems = 64;
@@ -87,6 +89,11 @@
     return stableHash(requestId, static_cast<std::uint64_t>(send));
 }
 
+bool PromptQuarantine::Survival::refutes(MonotonicTime lostAt) const
+{
+    return sentAt <= lostAt && answeredAt >= lostAt + kMaxLatency;
+}
+
 bool PromptQuarantine::Evidence::isSufficient() const
 {
     // Runs that were all under way before the first loss may have been ended by one outage. Times that peers report are late
@@ -187,7 +194,7 @@
 
 void PromptQuarantine::addLoss(LostRun run, MonotonicTime now, Changes& changes)
 {
-    if (const auto survival = m_survivals.find(run.engine); survival != m_survivals.end() && survival->second.sentAt <= run.lostAt && survival->second.answeredAt >= run.lostAt + kMaxLatency)
+    if (const auto survival = m_survivals.find(run.engine); survival != m_survivals.end() && survival->second.refutes(run.lostAt))
         return;
     if (auto* quarantine = findQuarantineOf(run)) {
         quarantine->lostAt = std::max(quarantine->lostAt, run.lostAt);
@@ -254,9 +261,7 @@
         known = { std::min(known.sentAt, survival.sentAt), std::max(known.answeredAt, survival.answeredAt), survival.isLocal };
     else
         known = survival;
-    std::erase_if(losses->second, [&known](const auto& entry) {
-        return known.sentAt <= entry.second.lostAt && known.answeredAt >= entry.second.lostAt + kMaxLatency;
-    });
+    std::erase_if(losses->second, [&known](const auto& entry) { return known.refutes(entry.second.lostAt); });
     if (losses->second.empty())
         m_losses.erase(losses);
 }
@@ -269,9 +274,9 @@
         const auto answer = m_answered.find(part);
         return answer != m_answered.end() && answer->second.at > lostAt;
     });
-    if (parts.empty() || (m_quarantines.size() >= kMaxQuarantines && !findQuarantine(parts)))
-        return;
     auto* quarantine = findQuarantine(parts);
+    if (parts.empty() || (!quarantine && m_quarantines.size() >= kMaxQuarantines))
+        return;
     const bool isNew = !quarantine || quarantine->until <= now;
     if (!quarantine)
         quarantine = &m_quarantines.emplace_back(Quarantine { parts, {}, {}, 0, {} });
--- a/src/hornbeamgate/gateway/prompt_quarantine.hpp
+++ b/src/hornbeamgate/gateway/prompt_quarantine.hpp
@@ -86,9 +86,6 @@
     };
     using Changes = std::vector<Change>;
 
-    /// Parts of one prompt that are taken into account; the last ones, if a prompt has more.
-    static constexpr std::size_t kMaxParts = 16;
-
     /// Returns until when a request with these parts is withheld, or nothing if it may be sent.
     std::optional<MonotonicTime> withheldUntil(const std::vector<PartKey>& parts, MonotonicTime now) const;
     /// Returns whether a run with these parts that was lost may be repeated on another engine. It may not if two engines
@@ -112,6 +109,8 @@
         MonotonicTime sentAt;
         MonotonicTime answeredAt;
         bool isLocal = false;
+        /// Returns whether the engine cannot have crashed at `lostAt`.
+        bool refutes(MonotonicTime lostAt) const;
     };
     struct Answer {
         MonotonicTime at;
--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -137,6 +137,8 @@
 
 /// Long enough that two crashes cannot be one outage.
 constexpr std::chrono::milliseconds kCrashInterval { 520 };
+/// Header fields of a prompt that waits for capacity.
+constexpr const char* kLongPrompt = "Authorization: Bearer key\r\nX-Hornbeamgate-Prompt-Prefix: a:13000,b:3700\r\n";
 constexpr const char* kSigned = "X-Hornbeamgate-Server-Signature: sig\r\n";
 constexpr const char* kNotExecuted = "X-Hornbeamgate-Not-Executed: 1\r\n";
 constexpr const char* kChunked = "Transfer-Encoding: chunked\r\n\r\n";
@@ -199,8 +201,7 @@
 {
     for (const bool isReset : { false, true }) {
         GatewayFixture fixture;
-        fixture.addEndpoint("e2", fixture.second.address());
-        fixture.state.loads.pauseUntil(EndpointId("e2"), MonotonicClock::now() + 1h);
+        fixture.addFallback();
         fixture.request("/booking/a");
         fixture.first.waitFor(0, "hi");
         if (isReset)
@@ -238,8 +239,7 @@
 TEST_CASE("an idempotent request is retried on another endpoint and never wrongly reported as not executed [request]")
 {
     GatewayFixture fixture;
-    fixture.addEndpoint("e2", fixture.second.address());
-    fixture.state.loads.pauseUntil(EndpointId("e2"), MonotonicClock::now() + 1h);
+    fixture.addFallback();
     fixture.request("/read/a");
     fixture.first.waitFor(0, "hi");
     fixture.first.drop(0);
@@ -247,8 +247,7 @@
     fixture.second.send(0, head(200, std::string(kSigned) + "Content-Length: 2\r\n\r\nok"));
     fixture.waitFor("\r\n\r\nok");
     GatewayFixture refused;
-    refused.addEndpoint("e2", refused.second.address());
-    refused.state.loads.pauseUntil(EndpointId("e2"), MonotonicClock::now() + 1h);
+    refused.addFallback();
     refused.request("/read/a");
     refused.first.waitFor(0, "hi");
     refused.first.drop(0);
@@ -324,8 +323,7 @@
 TEST_CASE("an interrupted stream resumes on another engine after the last complete event [request]")
 {
     GatewayFixture fixture;
-    fixture.addEndpoint("e2", fixture.second.address());
-    fixture.state.loads.pauseUntil(EndpointId("e2"), MonotonicClock::now() + 1h);
+    fixture.addFallback();
     fixture.request("/stream/a");
     fixture.first.waitFor(0, "hi");
     fixture.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1) + event(2) + "id: 3\nda"));
@@ -342,8 +340,7 @@
 {
     for (const auto& bytes : { head(503, std::string(kNotExecuted) + kEmpty), head(500, std::string(kSigned) + kEmpty), head(200, "Content-Length: 2\r\n\r\nok") }) {
         GatewayFixture fixture;
-        fixture.addEndpoint("e2", fixture.second.address());
-        fixture.state.loads.pauseUntil(EndpointId("e2"), MonotonicClock::now() + 1h);
+        fixture.addFallback();
         fixture.request("/stream/a");
         fixture.first.waitFor(0, "hi");
         fixture.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1)));
@@ -359,8 +356,7 @@
 TEST_CASE("a non-resumable stream is aborted after its first event and refused before it [request]")
 {
     GatewayFixture cut;
-    cut.addEndpoint("e2", cut.second.address());
-    cut.state.loads.pauseUntil(EndpointId("e2"), MonotonicClock::now() + 1h);
+    cut.addFallback();
     cut.request("/once/a");
     cut.first.waitFor(0, "hi");
     cut.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1)));
@@ -613,8 +609,7 @@
 TEST_CASE("an overdue stream moves to another engine only after being overtaken [request]")
 {
     GatewayFixture fixture;
-    fixture.addEndpoint("e2", fixture.second.address());
-    fixture.state.loads.pauseUntil(EndpointId("e2"), MonotonicClock::now() + 1h);
+    fixture.addFallback();
     fixture.request("/hasty/a");
     fixture.first.waitFor(0, "hi");
     const auto longAfter = MonotonicClock::now() + 400ms;
@@ -636,10 +631,9 @@
 
 TEST_CASE("a long prompt waits for capacity while requests without a long prompt are sent [request]")
 {
-    const std::string longPrompt = "Authorization: Bearer key\r\nX-Hornbeamgate-Prompt-Prefix: a:13000,b:3700\r\n";
     GatewayFixture fixture;
     fixture.state.loads.sent(EndpointId("e1"), 100, 40'000, MonotonicClock::now());
-    fixture.request("/stream/a", longPrompt);
+    fixture.request("/stream/a", kLongPrompt);
     REQUIRE(runUntil([&] { return fixture.state.waiting.size() == 1; }));
     CHECK(fixture.state.sendCount == 0);
     const auto waiting = std::move(fixture.caller);
@@ -652,22 +646,21 @@
 
 TEST_CASE("a queued prompt leaves the queue unexecuted on its deadline, on shutdown and when its caller disconnects [request]")
 {
-    const std::string longPrompt = "Authorization: Bearer key\r\nX-Hornbeamgate-Prompt-Prefix: a:13000,b:3700\r\n";
     GatewayFixture late;
     late.state.loads.sent(EndpointId("e1"), 100, 40'000, MonotonicClock::now());
-    late.request("/stream/a", longPrompt + "X-Hornbeamgate-Deadline-Ms: 1300\r\n");
+    late.request("/stream/a", std::string(kLongPrompt) + "X-Hornbeamgate-Deadline-Ms: 1300\r\n");
     late.waitFor("HTTP/1.1 503");
     CHECK(late.has("Retry-After: "));
     CHECK(late.state.sendCount == 0);
     GatewayFixture ending;
     ending.state.loads.sent(EndpointId("e1"), 100, 40'000, MonotonicClock::now());
-    ending.request("/stream/a", longPrompt);
+    ending.request("/stream/a", kLongPrompt);
     REQUIRE(runUntil([&] { return ending.state.waiting.size() == 1; }));
     ending.state.waiting.refuseAll();
     ending.waitFor("HTTP/1.1 503");
     GatewayFixture left;
     left.state.loads.sent(EndpointId("e1"), 100, 40'000, MonotonicClock::now());
-    left.request("/stream/a", longPrompt);
+    left.request("/stream/a", kLongPrompt);
     REQUIRE(runUntil([&] { return left.state.waiting.size() == 1; }));
     left.caller.reset();
     REQUIRE(runUntil([&] { return left.state.waiting.size() == 0; }));
@@ -679,9 +672,8 @@
     // The second end of one send queued the request again. The forgotten queue entry outlived its request and later sent the
     // request that had taken its place in memory.
     GatewayFixture fixture;
-    fixture.addEndpoint("e2", fixture.second.address());
-    fixture.state.loads.pauseUntil(EndpointId("e2"), MonotonicClock::now() + 1h);
-    fixture.request("/stream/a", "Authorization: Bearer key\r\nX-Hornbeamgate-Prompt-Prefix: a:13000,b:3700\r\n");
+    fixture.addFallback();
+    fixture.request("/stream/a", kLongPrompt);
     fixture.first.waitFor(0, "hi");
     fixture.state.loads.sent(EndpointId("e2"), 100, 40'000, MonotonicClock::now());
     fixture.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1) + event(3)));
@@ -701,14 +693,13 @@
 
 TEST_CASE("a queued request whose engine connection failed twice is sent to no more endpoints than its route allows [request]")
 {
-    const std::string longPrompt = "Authorization: Bearer key\r\nX-Hornbeamgate-Prompt-Prefix: a:13000,b:3700\r\n";
     GatewayFixture fixture;
     ScriptedServer third;
     fixture.addEndpoint("e2", fixture.second.address());
     fixture.addEndpoint("e3", third.address());
     fixture.state.loads.pauseUntil(EndpointId("e2"), MonotonicClock::now() + 1h);
     fixture.state.loads.pauseUntil(EndpointId("e3"), MonotonicClock::now() + 1h);
-    fixture.request("/stream/a", longPrompt);
+    fixture.request("/stream/a", kLongPrompt);
     fixture.first.waitFor(0, "hi");
     fixture.state.loads.sent(EndpointId("e2"), 100, 40'000, MonotonicClock::now());
     fixture.state.loads.sent(EndpointId("e3"), 101, 40'000, MonotonicClock::now());
@@ -760,9 +751,8 @@
 TEST_CASE("an interrupted stream resumes without waiting for prompt capacity [request]")
 {
     GatewayFixture fixture;
-    fixture.addEndpoint("e2", fixture.second.address());
-    fixture.state.loads.pauseUntil(EndpointId("e2"), MonotonicClock::now() + 1h);
-    fixture.request("/stream/a", "Authorization: Bearer key\r\nX-Hornbeamgate-Prompt-Prefix: a:13000,b:3700\r\n");
+    fixture.addFallback();
+    fixture.request("/stream/a", kLongPrompt);
     fixture.first.waitFor(0, "hi");
     fixture.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1)));
     fixture.waitFor(event(1));
