Log each failed call to the store, fetches from peers and the age of the configuration

The logs of the incident name only the second failure in a row of a topic's calls, so the time of a lost call had to be worked out from it, and a refusal says which version decided but not how long ago the store confirmed it; a fetch from another gateway, or its failure, left no line at all.

directory_call_failed gives topic, time pending, failures in a row and the delay before the next call; records_fetched the peer and the number of records or the reason; config_applied the time without an answer; the lines that end a request and /dump the age of the configuration. A counter holds the failed calls. No decision has changed.

--- a/src/hornbeamgate/gateway/directory_replica.cpp
+++ b/src/hornbeamgate/gateway/directory_replica.cpp
@@ -5,6 +5,12 @@
 
 namespace hornbeamgate::gateway {
 
+std::string_view topicName(DirectoryTopic topic)
+{
+    constexpr std::array<std::string_view, kDirectoryTopics> kNames { "operators", "endpoints", "daemons" };
+    return kNames[static_cast<std::size_t>(topic)];
+}
+
 bool DirectoryReplica::apply(DirectoryTopic topic, const DirectoryRecord& record)
 {
     const auto index = static_cast<std::size_t>(topic);
--- a/src/hornbeamgate/gateway/directory_replica.hpp
+++ b/src/hornbeamgate/gateway/directory_replica.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hornbeamgate::gateway {
@@ -21,6 +22,9 @@
 };
 inline constexpr std::size_t kDirectoryTopics = static_cast<std::size_t>(DirectoryTopic::TopicCount);
 
+/// Name of `topic` as it stands in a log line.
+std::string_view topicName(DirectoryTopic topic);
+
 /// Value of a key as of an offset. No value means that the key was withdrawn.
 struct DirectoryRecord {
     std::string key;
--- a/src/hornbeamgate/observability/log.cpp
+++ b/src/hornbeamgate/observability/log.cpp
@@ -51,6 +51,8 @@
         EventEntry { LogEvent::BudgetClaimed, "budget_claimed", LogLevel::Debug },
         EventEntry { LogEvent::BudgetMoved, "budget_moved", LogLevel::Debug },
         EventEntry { LogEvent::SettingsReloaded, "settings_reloaded", LogLevel::Info },
+        EventEntry { LogEvent::DirectoryCallFailed, "directory_call_failed", LogLevel::Info },
+        EventEntry { LogEvent::RecordsFetched, "records_fetched", LogLevel::Info },
         EventEntry { LogEvent::DependencyLost, "dependency_lost", LogLevel::Warning },
         EventEntry { LogEvent::DependencyRegained, "dependency_regained", LogLevel::Info },
         EventEntry { LogEvent::RecordUnreadable, "record_unreadable", LogLevel::Warning },
--- a/src/hornbeamgate/observability/log.hpp
+++ b/src/hornbeamgate/observability/log.hpp
@@ -38,6 +38,8 @@
     BudgetClaimed,
     BudgetMoved,
     SettingsReloaded,
+    DirectoryCallFailed,
+    RecordsFetched,
     DependencyLost,
     DependencyRegained,
     RecordUnreadable,
--- a/src/hornbeamgate/observability/metrics.cpp
+++ b/src/hornbeamgate/observability/metrics.cpp
@@ -30,6 +30,7 @@
         "hornbeamgate_prefix_blocks_hit_total",
         "hornbeamgate_bookings_executed_total",
         "hornbeamgate_bookings_replayed_total",
+        "hornbeamgate_directory_calls_failed_total",
     };
 
     constexpr std::array<std::string_view, static_cast<std::size_t>(Latency::LatencyCount)> kLatencyNames {
--- a/src/hornbeamgate/observability/metrics.hpp
+++ b/src/hornbeamgate/observability/metrics.hpp
@@ -23,6 +23,7 @@
     PrefixBlocksHit,
     BookingsExecuted,
     BookingsReplayed,
+    DirectoryCallsFailed,
     CounterCount,
 };
 
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -14,7 +14,6 @@
     using std::chrono::milliseconds;
 
     struct TopicSchedule {
-        std::string_view name;
         milliseconds wait; ///< long-poll timeout: how long the store waits for a change
         milliseconds pause; ///< between a response and the next call
         milliseconds staleAfter; ///< without a response for this long, other daemons may have newer records
@@ -25,9 +24,9 @@
     /// Endpoints re-register continually, so a long poll would return for each registration; they are polled at an interval
     /// instead. The other topics change rarely and use long polling.
     constexpr std::array<TopicSchedule, kDirectoryTopics> kSchedules { {
-        { "operators", milliseconds(4000), milliseconds(0), milliseconds(300) },
-        { "endpoints", milliseconds(0), milliseconds(500), milliseconds(2000) },
-        { "daemons", milliseconds(10000), milliseconds(200), milliseconds(12000) },
+        { milliseconds(4000), milliseconds(0), milliseconds(300) },
+        { milliseconds(0), milliseconds(500), milliseconds(2000) },
+        { milliseconds(10000), milliseconds(200), milliseconds(12000) },
     } };
     static_assert(kSchedules.size() == kDirectoryTopics);
 
@@ -96,7 +95,8 @@
 
 void DirectoryTask::poll(DirectoryTopic topic)
 {
-    const auto& current = watcher(topic);
+    auto& current = watcher(topic);
+    current.calledAt = MonotonicClock::now();
     if (!current.hasListing) {
         m_directory.list(topic, [this, topic](const Result<DirectoryPage, DirectoryError>& page) { onPage(topic, true, page); });
         return;
@@ -107,25 +107,13 @@
 void DirectoryTask::onPage(DirectoryTopic topic, bool isListing, const Result<DirectoryPage, DirectoryError>& page)
 {
     auto& current = watcher(topic);
-    const auto& schedule = scheduleOf(topic);
     const auto now = MonotonicClock::now();
     if (!page) {
-        if (page.error().isLogTruncated) {
-            current.hasListing = false;
-            poll(topic);
-            return;
-        }
-        if (++current.failuresInRow == kFailuresUntilLost)
-            logEvent(LogEvent::DependencyLost, { { "dependency", "store" }, { "topic", schedule.name }, { "reason", page.error().detail } });
-        const int doublings = std::min(current.failuresInRow - 1, kMaxRetryDoublings);
-        const auto pause = std::min(kInitialRetryDelay * (1 << doublings), kMaxRetryDelay);
-        // Jitter prevents daemons that lost the store at the same time from reconnecting at the same time.
-        const auto spread = static_cast<std::int64_t>(newUniqueNumber() % static_cast<std::uint64_t>(pause.count()));
-        current.timer.set(now + pause + milliseconds(spread));
+        onCallFailed(topic, page.error());
         return;
     }
     if (current.failuresInRow >= kFailuresUntilLost) {
-        logEvent(LogEvent::DependencyRegained, { { "dependency", "store" }, { "topic", schedule.name }, { "failed_calls", current.failuresInRow } });
+        logEvent(LogEvent::DependencyRegained, { { "dependency", "store" }, { "topic", topicName(topic) }, { "failed_calls", current.failuresInRow } });
         if (topic == DirectoryTopic::Endpoints)
             m_state.registry.directoryRecovered(now);
     }
@@ -137,11 +125,36 @@
         for (const auto& record : m_replica.findWithdrawn(topic, page->records, page->next))
             apply(topic, record);
     }
+    if (topic == DirectoryTopic::Operators)
+        m_state.configConfirmedAt = now;
     current.hasListing = true;
     current.next = std::max(current.next, page->next);
     current.timer.set(now + pollInterval(topic));
 }
 
+void DirectoryTask::onCallFailed(DirectoryTopic topic, const DirectoryError& error)
+{
+    auto& current = watcher(topic);
+    const auto now = MonotonicClock::now();
+    if (error.isLogTruncated) {
+        current.hasListing = false;
+        poll(topic);
+        return;
+    }
+    m_state.metrics.add(Counter::DirectoryCallsFailed);
+    ++current.failuresInRow;
+    const int doublings = std::min(current.failuresInRow - 1, kMaxRetryDoublings);
+    const auto pause = std::min(kInitialRetryDelay * (1 << doublings), kMaxRetryDelay);
+    // Jitter prevents daemons that lost the store at the same time from reconnecting at the same time.
+    const auto delay = pause + milliseconds(newUniqueNumber() % static_cast<std::uint64_t>(pause.count()));
+    logEvent(LogEvent::DirectoryCallFailed,
+        { { "topic", topicName(topic) }, { "pending_ms", std::chrono::duration_cast<milliseconds>(now - current.calledAt).count() },
+            { "failures", current.failuresInRow }, { "retry_ms", delay.count() }, { "reason", error.detail } });
+    if (current.failuresInRow == kFailuresUntilLost)
+        logEvent(LogEvent::DependencyLost, { { "dependency", "store" }, { "topic", topicName(topic) }, { "reason", error.detail } });
+    current.timer.set(now + delay);
+}
+
 Duration DirectoryTask::pollInterval(DirectoryTopic topic) const
 {
     const auto pause = scheduleOf(topic).pause;
@@ -178,7 +191,7 @@
     }
     auto item = m_directory.decode(topic, record);
     if (!item) {
-        logEvent(LogEvent::RecordUnreadable, { { "topic", scheduleOf(topic).name }, { "key", record.key }, { "offset", record.offset.value() }, { "reason", item.error().detail } });
+        logEvent(LogEvent::RecordUnreadable, { { "topic", topicName(topic) }, { "key", record.key }, { "offset", record.offset.value() }, { "reason", item.error().detail } });
         // An unreadable record does not identify a usable endpoint or daemon, so the previous entry is removed.
         removeRecord(topic, record.key);
         return;
@@ -205,7 +218,7 @@
 {
     if (m_state.routes && config.version <= m_state.routes->config().version)
         return;
-    logEvent(LogEvent::ConfigApplied, { { "version", config.version.value() }, { "routes", config.routes.size() }, { "workspaces", config.workspaces.size() } });
+    logEvent(LogEvent::ConfigApplied, { { "version", config.version.value() }, { "routes", config.routes.size() }, { "workspaces", config.workspaces.size() }, { "unconfirmed_ms", m_state.configAge(MonotonicClock::now()).count() } });
     logRateChanges(m_state.routes ? &m_state.routes->config() : nullptr, config);
     m_state.rates.setLimits(config.workspaces, MonotonicClock::now());
     m_state.routes = std::make_shared<const RouteTable>(std::move(config));
--- a/src/hornbeamgate/runtime/gateway/directory_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.hpp
@@ -46,6 +46,7 @@
         bool hasListing = false;
         LogOffset next;
         int failuresInRow = 0;
+        MonotonicTime calledAt {};
         std::optional<MonotonicTime> answeredAt;
     };
 
@@ -53,6 +54,7 @@
     /// Returns the delay between a response and the next call.
     Duration pollInterval(DirectoryTopic topic) const;
     void onPage(DirectoryTopic topic, bool isListing, const Result<DirectoryPage, DirectoryError>& page);
+    void onCallFailed(DirectoryTopic topic, const DirectoryError& error);
     void apply(DirectoryTopic topic, const DirectoryRecord& record);
     void removeRecord(DirectoryTopic topic, const std::string& key);
     void put(FleetConfig config);
--- a/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
@@ -194,7 +194,7 @@
             { "load", m_state.loads.load(id, now) }, { "failure_share", m_state.loads.failureRate(id) }, { "avoided", m_state.loads.isAvoided(id, now) } });
     }
     const json state { { "host", m_self.host.value() }, { "config_version", m_state.routes ? m_state.routes->config().version.value() : 0 },
-        { "draining", m_state.isDraining }, { "holds_duty", m_state.weightsRollout.isConfirmed(now) }, { "peers_heard", m_state.peers.heardCount(now) },
+        { "config_age_ms", m_state.configAge(now).count() }, { "draining", m_state.isDraining }, { "holds_duty", m_state.weightsRollout.isConfirmed(now) }, { "peers_heard", m_state.peers.heardCount(now) },
         { "peers_running", m_state.peers.runningCount(now) }, { "caller_connections", m_callers->connections() },
         { "connections_opened", m_state.endpointConnections.opened() }, { "connections_reused", m_state.endpointConnections.reused() },
         { "endpoints", std::move(endpoints) } };
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -651,6 +651,7 @@
     logEvent(isServed ? LogEvent::RequestFinished : LogEvent::RequestRefused,
         { { "request", m_metadata.requestId }, { "route", m_route ? std::string_view(m_route->name) : std::string_view() },
             { "workspace", m_workspace ? m_workspace->id.value() : std::string() }, { "config", m_routes ? m_routes->config().version.value() : 0 },
+            { "config_age_ms", m_state.configAge(now).count() },
             { "endpoint", m_endpoint.value() }, { "sends", m_sendCount }, { "status", status }, { "outcome", outcome },
             { "may_have_run", m_mayHaveExecuted ? 1 : 0 }, { "first_ms", m_timeToFirstPiece ? std::chrono::duration_cast<milliseconds>(*m_timeToFirstPiece).count() : -1 },
             { "ms", std::chrono::duration_cast<milliseconds>(now - m_message.headArrived).count() } });
--- a/src/hornbeamgate/runtime/gateway/gateway_state.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_state.hpp
@@ -35,9 +35,16 @@
         return retryBudgets.try_emplace(service, settings.retries).first->second;
     }
 
+    /// Returns the time since the configuration was last confirmed to be the newest, or -1 ms if it never was.
+    std::chrono::milliseconds configAge(MonotonicTime now) const
+    {
+        return configConfirmedAt ? std::chrono::duration_cast<std::chrono::milliseconds>(now - *configConfirmedAt) : std::chrono::milliseconds(-1);
+    }
+
     const GatewaySettings& settings;
     const WireFormat& wire;
     std::shared_ptr<const RouteTable> routes; ///< null until the first configuration is received; shared with requests in progress
+    std::optional<MonotonicTime> configConfirmedAt; ///< last time the store reported all operators' records
     EndpointRegistry registry;
     EndpointLoads loads;
     BlockDirectory blocks;
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -196,13 +196,16 @@
     head.fields.add("Host", peer.text());
     m_calls.start(peer, requestText(head, {}), MonotonicClock::now() + kFetchTimeout, [this, topic, index, peer](const Result<HttpResponse, NetError>& answer) {
         m_isFetching[index] = false;
-        if (!answer || answer->status != kOk)
+        if (!answer || answer->status != kOk) {
+            logEvent(LogEvent::RecordsFetched, { { "topic", topicName(topic) }, { "peer", peer.text() }, { "records", -1 }, { "reason", answer ? "unexpected status" : answer.error().detail } });
             return;
+        }
         const auto records = decodeRecords(asBytes(answer->body));
         if (!records) {
             logEvent(LogEvent::RecordUnreadable, { { "peer", peer.text() }, { "reason", records.error().detail } });
             return;
         }
+        logEvent(LogEvent::RecordsFetched, { { "topic", topicName(topic) }, { "peer", peer.text() }, { "records", records->size() }, { "reason", "" } });
         m_directory.applyPeerRecords(topic, *records);
     });
 }
--- a/tests/platform/directory_task.test.cpp
+++ b/tests/platform/directory_task.test.cpp
@@ -98,6 +98,20 @@
     CHECK(fixture.state.registry.find(EndpointId("a")));
 }
 
+TEST_CASE("failed calls are counted and the age of the configuration grows until the store answers again [directory]")
+{
+    Fixture fixture;
+    const auto start = MonotonicClock::now();
+    CHECK(fixture.state.configAge(start) == -1ms);
+    fixture.directory.answer(DirectoryTopic::Operators, DirectoryPage { { config(3, 10) }, LogOffset(11) });
+    CHECK(fixture.state.configAge(MonotonicClock::now()) < 1s);
+    CHECK(fixture.state.configAge(start + 9s) > 8s);
+    REQUIRE(runUntil([&] { return fixture.directory.hasPendingCall(DirectoryTopic::Operators); }));
+    fixture.directory.answer(DirectoryTopic::Operators, failure(DirectoryError { "down" }));
+    CHECK(fixture.state.metrics.value(Counter::DirectoryCallsFailed) == 1);
+    CHECK(fixture.state.configAge(start + 9s) > 8s);
+}
+
 TEST_CASE("the endpoint poll interval grows with the fleet up to its limit [directory]")
 {
     Fixture fixture;
