Derive the calls for endpoints from the bound on leaving endpoints

Calls for the endpoints were given up after fixed times: on after 1.5 s, with 0.8 to 1.6 s until the next call from the third failure on. A report that an engine leaves, acknowledged just as an outage ends, could be read more than 3 s later, when the engine must get no more requests (DRAIN).

The bound now comes from the deployment (leaving_bound_ms). The interval between two reads is as before where the bound allows it, which it does on all known deployments.

Before: the new test fails, calls wait 2 s for an answer after the second failure where 1.5 s are allowed. After: it passes.

--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -21,8 +21,7 @@
     constexpr milliseconds kMaxEndpointInterval { 1200 };
     /// Collects the registrations of daemons that start at the same time.
     constexpr milliseconds kDaemonsPause { 200 };
-    /// Times within which changes of endpoints and daemons are known.
-    constexpr milliseconds kEndpointsBound { 4000 };
+    /// Time within which changes of daemons are known.
     constexpr milliseconds kDaemonsBound { 18000 };
 
     /// Consecutive failed calls after which the store is logged as unavailable.
@@ -80,7 +79,7 @@
     if (topic == DirectoryTopic::Daemons)
         return PollPolicy::longPoll(kDaemonsBound, kDaemonsPause);
     const auto peers = static_cast<std::int64_t>(m_state.peers.runningCount(MonotonicClock::now()));
-    return PollPolicy::periodic(kEndpointsBound, std::min(kEndpointInterval + kEndpointIntervalPerPeer * peers, kMaxEndpointInterval));
+    return PollPolicy::periodic(m_state.settings.leavingBound, std::min(kEndpointInterval + kEndpointIntervalPerPeer * peers, kMaxEndpointInterval));
 }
 
 void DirectoryTask::poll(DirectoryTopic topic)
--- a/src/hornbeamgate/settings/gateway_settings.cpp
+++ b/src/hornbeamgate/settings/gateway_settings.cpp
@@ -11,6 +11,7 @@
     constexpr std::chrono::milliseconds kDefaultRetryWindow { 10'000 };
     constexpr double kDefaultRetryRatio = 0.1;
     constexpr std::chrono::milliseconds kDefaultConfigBound { 3'000 };
+    constexpr std::chrono::milliseconds kDefaultLeavingBound { 3'000 };
     constexpr std::chrono::milliseconds kDefaultWeightsBound { 10'000 };
     constexpr std::chrono::milliseconds kDefaultLeaderLease { 3'000 };
     constexpr std::chrono::milliseconds kDefaultMinMembershipLifetime { 1'000 };
@@ -34,6 +35,7 @@
         settings.retries.slack = static_cast<double>(reader.number("retry_slack", kCountRange, 0));
         settings.retries.window = reader.milliseconds("retry_window_ms", kTimeoutRange, kDefaultRetryWindow);
         settings.configBound = reader.milliseconds("config_bound_ms", kTimeoutRange, kDefaultConfigBound);
+        settings.leavingBound = reader.milliseconds("leaving_bound_ms", kTimeoutRange, kDefaultLeavingBound);
         settings.weightsBound = reader.milliseconds("weights_bound_ms", kTimeoutRange, kDefaultWeightsBound);
         settings.minMembershipLifetime = reader.milliseconds("least_membership_ms", kTimeoutRange, kDefaultMinMembershipLifetime);
         settings.leaderLease = reader.milliseconds("duty_lease_ms", kTimeoutRange, kDefaultLeaderLease);
--- a/tests/platform/directory_task.test.cpp
+++ b/tests/platform/directory_task.test.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/// Time after which an endpoint that has reported that it leaves gets no more requests.
+constexpr Duration kLeavingBound = 3s;
+
 struct Fixture {
     Fixture() { task.start(); }
 
@@ -22,6 +25,7 @@
         GatewaySettings made;
         made.common.host = HostId("front-1");
         made.configBound = 3s;
+        made.leavingBound = kLeavingBound;
         made.leaderLease = 3s;
         made.weightsBound = 10s;
         return made;
@@ -123,6 +127,19 @@
     CHECK(silence <= fixture.settings.configBound * 5 / 8);
 }
 
+TEST_CASE("during an outage calls for endpoints are given up well within the bound on leaving endpoints [directory]")
+{
+    Fixture fixture;
+    for (int failures = 0; failures < 4; ++failures) {
+        REQUIRE(runUntil([&] { return fixture.directory.hasPendingCall(DirectoryTopic::Endpoints); }));
+        CHECK(fixture.directory.silences[FakeDirectory::index(DirectoryTopic::Endpoints)] <= kLeavingBound / 2);
+        const auto failed = MonotonicClock::now();
+        fixture.directory.answer(DirectoryTopic::Endpoints, failure(DirectoryError { "down" }));
+        REQUIRE(runUntil([&] { return fixture.directory.hasPendingCall(DirectoryTopic::Endpoints); }));
+        CHECK(MonotonicClock::now() - failed < kLeavingBound * 5 / 16);
+    }
+}
+
 TEST_CASE("the endpoint poll interval grows with the fleet up to its limit [directory]")
 {
     Fixture fixture;
--- a/tests/platform/settings_template.test.cpp
+++ b/tests/platform/settings_template.test.cpp
@@ -29,6 +29,7 @@
         { "{{bounds.budget-slack|json}}", "56" },
         { "{{bounds.budget-window-s}}", "10" },
         { "{{bounds.config-apply-ms}}", "2500" },
+        { "{{bounds.drain-timeout-ms}}", "2600" },
         { "{{bounds.version-ms}}", "10000" },
         { "{{bounds.lease-duration-ms}}", "3000" },
         { "{{platform.min-ttl-ms|json}}", "1000" },
@@ -63,6 +64,7 @@
     CHECK(settings->retries.window == 10s);
     CHECK(settings->leaderLease == 3s);
     CHECK(settings->configBound == 2500ms);
+    CHECK(settings->leavingBound == 2600ms);
     CHECK(settings->weightsBound == 10s);
 }
 
--- a/tests/platform/silent_store.test.cpp
+++ b/tests/platform/silent_store.test.cpp
@@ -29,6 +29,7 @@
         GatewaySettings made;
         made.common.host = HostId("front-1");
         made.configBound = kConfigBound;
+        made.leavingBound = 3s;
         made.leaderLease = 3s;
         made.weightsBound = 10s;
         return made;
