Derive the calls for other daemons from the window of the rates

Daemons share the rates of workspaces, so each must know of the others.

The bound is now that window (rate_window_ms, from the deployment): the call waits 4 s and is given up a second later. A new daemon still makes itself known sooner, by its first report.

Before: the new test fails, 11 s of silence are awaited where 5 s are allowed. After: it passes. A shorter bound than the window would cost more calls; reports carry newcomers in all but this case.

--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -21,8 +21,6 @@
     constexpr milliseconds kMaxEndpointInterval { 1200 };
     /// Collects the registrations of daemons that start at the same time.
     constexpr milliseconds kDaemonsPause { 200 };
-    /// Time within which changes of daemons are known.
-    constexpr milliseconds kDaemonsBound { 18000 };
 
     /// Consecutive failed calls after which the store is logged as unavailable.
     constexpr int kFailuresUntilLost = 2;
@@ -77,7 +75,7 @@
     if (topic == DirectoryTopic::Operators)
         return PollPolicy::longPoll(m_state.settings.configBound, Duration::zero());
     if (topic == DirectoryTopic::Daemons)
-        return PollPolicy::longPoll(kDaemonsBound, kDaemonsPause);
+        return PollPolicy::longPoll(m_state.settings.rateWindow, kDaemonsPause);
     const auto peers = static_cast<std::int64_t>(m_state.peers.runningCount(MonotonicClock::now()));
     return PollPolicy::periodic(m_state.settings.leavingBound, std::min(kEndpointInterval + kEndpointIntervalPerPeer * peers, kMaxEndpointInterval));
 }
--- a/src/hornbeamgate/settings/gateway_settings.cpp
+++ b/src/hornbeamgate/settings/gateway_settings.cpp
@@ -12,6 +12,7 @@
     constexpr double kDefaultRetryRatio = 0.1;
     constexpr std::chrono::milliseconds kDefaultConfigBound { 3'000 };
     constexpr std::chrono::milliseconds kDefaultLeavingBound { 3'000 };
+    constexpr std::chrono::milliseconds kDefaultRateWindow { 8'000 };
     constexpr std::chrono::milliseconds kDefaultWeightsBound { 10'000 };
     constexpr std::chrono::milliseconds kDefaultLeaderLease { 3'000 };
     constexpr std::chrono::milliseconds kDefaultMinMembershipLifetime { 1'000 };
@@ -36,6 +37,7 @@
         settings.retries.window = reader.milliseconds("retry_window_ms", kTimeoutRange, kDefaultRetryWindow);
         settings.configBound = reader.milliseconds("config_bound_ms", kTimeoutRange, kDefaultConfigBound);
         settings.leavingBound = reader.milliseconds("leaving_bound_ms", kTimeoutRange, kDefaultLeavingBound);
+        settings.rateWindow = reader.milliseconds("rate_window_ms", kTimeoutRange, kDefaultRateWindow);
         settings.weightsBound = reader.milliseconds("weights_bound_ms", kTimeoutRange, kDefaultWeightsBound);
         settings.minMembershipLifetime = reader.milliseconds("least_membership_ms", kTimeoutRange, kDefaultMinMembershipLifetime);
         settings.leaderLease = reader.milliseconds("duty_lease_ms", kTimeoutRange, kDefaultLeaderLease);
--- a/src/hornbeamgate/settings/gateway_settings.hpp
+++ b/src/hornbeamgate/settings/gateway_settings.hpp
@@ -17,6 +17,7 @@
     gateway::RetryLimits retries;
     Duration configBound {}; ///< maximum time from the acknowledgement of a configuration until it is in force
     Duration leavingBound {}; ///< maximum time from the report that an endpoint leaves until it gets no more requests
+    Duration rateWindow {}; ///< window in which the rates of the workspaces hold over all daemons
     Duration weightsBound {}; ///< maximum time from a change of a model's weights until no new request starts on older ones
     Duration minMembershipLifetime {}; ///< shortest lifetime of a group membership that the store accepts
     Duration leaderLease {}; ///< minimum time between orders from two different daemons to the same engine
--- a/tests/platform/directory_task.test.cpp
+++ b/tests/platform/directory_task.test.cpp
@@ -16,6 +16,8 @@
 
 /// Time after which an endpoint that has reported that it leaves gets no more requests.
 constexpr Duration kLeavingBound = 3s;
+/// Window in which the rate of a workspace holds over all daemons.
+constexpr Duration kRateWindow = 8s;
 
 struct Fixture {
     Fixture() { task.start(); }
@@ -26,6 +28,7 @@
         made.common.host = HostId("front-1");
         made.configBound = 3s;
         made.leavingBound = kLeavingBound;
+        made.rateWindow = kRateWindow;
         made.leaderLease = 3s;
         made.weightsBound = 10s;
         return made;
@@ -127,6 +130,14 @@
     CHECK(silence <= fixture.settings.configBound * 5 / 8);
 }
 
+TEST_CASE("a call for the other daemons is given up well within the window of the rates that they share [directory]")
+{
+    Fixture fixture;
+    fixture.directory.answer(DirectoryTopic::Daemons, DirectoryPage { {}, LogOffset(0) });
+    REQUIRE(runUntil([&] { return fixture.directory.hasPendingCall(DirectoryTopic::Daemons); }));
+    CHECK(fixture.directory.silences[FakeDirectory::index(DirectoryTopic::Daemons)] <= kRateWindow * 5 / 8);
+}
+
 TEST_CASE("during an outage calls for endpoints are given up well within the bound on leaving endpoints [directory]")
 {
     Fixture fixture;
--- a/tests/platform/settings_template.test.cpp
+++ b/tests/platform/settings_template.test.cpp
@@ -30,6 +30,7 @@
         { "{{bounds.budget-window-s}}", "10" },
         { "{{bounds.config-apply-ms}}", "2500" },
         { "{{bounds.drain-timeout-ms}}", "2600" },
+        { "{{bounds.quota-window-s}}", "7" },
         { "{{bounds.version-ms}}", "10000" },
         { "{{bounds.lease-duration-ms}}", "3000" },
         { "{{platform.min-ttl-ms|json}}", "1000" },
@@ -65,6 +66,7 @@
     CHECK(settings->leaderLease == 3s);
     CHECK(settings->configBound == 2500ms);
     CHECK(settings->leavingBound == 2600ms);
+    CHECK(settings->rateWindow == 7s);
     CHECK(settings->weightsBound == 10s);
 }
 
--- a/tests/platform/silent_store.test.cpp
+++ b/tests/platform/silent_store.test.cpp
@@ -30,6 +30,7 @@
         made.common.host = HostId("front-1");
         made.configBound = kConfigBound;
         made.leavingBound = 3s;
+        made.rateWindow = 8s;
         made.leaderLease = 3s;
         made.weightsBound = 10s;
         return made;
