Derive the end of a drain from the time until SIGKILL

All known deployments leave 8 s.

stop_grace_ms, from the deployment, takes the place of drain_timeout_ms of the gateway; a drain ends after seven eighths of it, as before where it is 8 s. Before: the test renders a grace of 6 s and fails with a drain of 7 s. After: it passes.

--- a/src/hornbeamgate/settings/gateway_settings.cpp
+++ b/src/hornbeamgate/settings/gateway_settings.cpp
@@ -6,8 +6,9 @@
 
     constexpr NumberRange kTimeoutRange { 1, 3'600'000 };
     constexpr NumberRange kCountRange { 0, 1'000'000 };
-    /// The smallest deployment sends SIGKILL eight seconds after SIGTERM; the difference leaves time to deregister.
-    constexpr std::chrono::milliseconds kDefaultDrainTimeout { 7'000 };
+    constexpr std::chrono::milliseconds kDefaultStopGrace { 8'000 };
+    /// Share of the time between SIGTERM and SIGKILL in which requests are finished; the rest is left to deregister.
+    constexpr double kDrainShare = 7.0 / 8;
     constexpr std::chrono::milliseconds kDefaultRetryWindow { 10'000 };
     constexpr double kDefaultRetryRatio = 0.1;
     constexpr std::chrono::milliseconds kDefaultConfigBound { 3'000 };
@@ -26,7 +27,8 @@
         settings.common.link = reader.address("peers");
         settings.common.admin = reader.address("admin");
         settings.common.logLevel = readLogLevel(reader);
-        settings.common.drainTimeout = reader.milliseconds("drain_timeout_ms", kTimeoutRange, kDefaultDrainTimeout);
+        const auto stopGrace = reader.milliseconds("stop_grace_ms", kTimeoutRange, kDefaultStopGrace);
+        settings.common.drainTimeout = std::chrono::duration_cast<Duration>(stopGrace * kDrainShare);
         settings.callers = reader.address("callers");
         settings.readiness = reader.address("readiness");
         settings.store = reader.address("store");
--- a/tests/platform/settings_template.test.cpp
+++ b/tests/platform/settings_template.test.cpp
@@ -31,6 +31,7 @@
         { "{{bounds.config-apply-ms}}", "2500" },
         { "{{bounds.drain-timeout-ms}}", "2600" },
         { "{{bounds.quota-window-s}}", "7" },
+        { "{{bounds.grace-period-s}}", "6" },
         { "{{bounds.version-ms}}", "10000" },
         { "{{bounds.lease-duration-ms}}", "3000" },
         { "{{platform.min-ttl-ms|json}}", "1000" },
@@ -67,6 +68,9 @@
     CHECK(settings->configBound == 2500ms);
     CHECK(settings->leavingBound == 2600ms);
     CHECK(settings->rateWindow == 7s);
+    // A drain has to end before the process is killed, with time left to deregister.
+    CHECK(settings->common.drainTimeout < 6s);
+    CHECK(settings->common.drainTimeout >= 5s);
     CHECK(settings->weightsBound == 10s);
 }
 
