Decode and log the limit that an engine names in its responses

Nothing decoded Server-Limit, and no log told that an engine had named one.

Missing, empty, negative, huge, repeated and unreadable values have tests. No decision uses the limit yet.

--- a/src/hornbeamgate/observability/log.cpp
+++ b/src/hornbeamgate/observability/log.cpp
@@ -57,6 +57,8 @@
         EventEntry { LogEvent::DependencyRegained, "dependency_regained", LogLevel::Info },
         EventEntry { LogEvent::RecordUnreadable, "record_unreadable", LogLevel::Warning },
         EventEntry { LogEvent::EndpointsChanged, "endpoints_changed", LogLevel::Info },
+        EventEntry { LogEvent::EndpointLimited, "endpoint_limited", LogLevel::Info },
+        EventEntry { LogEvent::AdviceUnreadable, "advice_unreadable", LogLevel::Warning },
         EventEntry { LogEvent::RateChanged, "rate_changed", LogLevel::Info },
         EventEntry { LogEvent::WeightsNamed, "weights_named", LogLevel::Info },
         EventEntry { LogEvent::WeightsOrdered, "weights_ordered", LogLevel::Info },
--- a/src/hornbeamgate/observability/log.hpp
+++ b/src/hornbeamgate/observability/log.hpp
@@ -44,6 +44,8 @@
     DependencyRegained,
     RecordUnreadable,
     EndpointsChanged,
+    EndpointLimited,
+    AdviceUnreadable,
     RateChanged,
     WeightsNamed,
     WeightsOrdered,
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -283,6 +283,7 @@
     m_sentAt = now;
     m_isSending = true;
     m_hasFirstEvent = false;
+    m_incarnation = endpoint.incarnation;
     m_engine = engineKey(endpoint.id, endpoint.incarnation);
     ++m_sendCount;
     m_responseHead.reset();
@@ -340,6 +341,21 @@
     if (m_route->isStreaming && head.status / kStatusClass == kSuccessClass && m_responseMetadata.isSigned)
         m_responseMode = ResponseMode::Streamed;
     m_responseHead = std::move(head);
+    recordAdvice(now);
+}
+
+void GatewayRequest::recordAdvice(MonotonicTime now)
+{
+    // Another engine at the same address speaks for itself, and an intermediary for no engine.
+    const bool isMisdirected = m_responseHead->status == kMisdirected && m_responseMetadata.endpoint != m_endpoint;
+    if (isMisdirected || !(m_responseMetadata.isSigned || m_responseMetadata.isNotExecuted))
+        return;
+    if (!m_responseMetadata.unreadableAdvice.empty())
+        logEvent(LogEvent::AdviceUnreadable, { { "endpoint", m_endpoint.value() }, { "field", m_responseMetadata.unreadableAdvice } });
+    const EndpointInstance endpoint { m_endpoint, m_incarnation };
+    if (!m_state.advisories.recordResponse(endpoint, m_responseMetadata.advice, m_sentAt, now))
+        return;
+    logEvent(LogEvent::EndpointLimited, { { "endpoint", m_endpoint.value() }, { "per_second", m_state.advisories.limitOf(endpoint).value_or(-1) }, { "request", m_metadata.requestId } });
 }
 
 void GatewayRequest::onBody(std::string_view bytes)
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -57,6 +57,8 @@
     PlacementRequest makePlacementRequest(MonotonicTime now) const;
 
     void onHead(HttpResponseHead head);
+    /// Records what the engine asks for in its response.
+    void recordAdvice(MonotonicTime now);
     void onBody(std::string_view bytes);
     void onComplete();
     void onFailed(ExchangeFailure failure, const std::string& reason);
@@ -107,6 +109,7 @@
 
     PromptQueueDispatcher::Ticket m_queueTicket; ///< held while the request waits for capacity
     EndpointId m_endpoint;
+    Incarnation m_incarnation; ///< of the endpoint
     EngineKey m_engine = 0;
     std::uint64_t m_sendNumber = 0;
     MonotonicTime m_sentAt {};
--- a/src/hornbeamgate/runtime/gateway/gateway_state.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hornbeamgate/gateway/endpoint_advisories.hpp"
 #include "hornbeamgate/gateway/endpoint_loads.hpp"
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
 #include "hornbeamgate/gateway/peer_table.hpp"
@@ -47,6 +48,7 @@
     std::optional<MonotonicTime> configConfirmedAt; ///< last time the store reported all operators' records
     EndpointRegistry registry;
     EndpointLoads loads;
+    EndpointAdvisories advisories;
     BlockDirectory blocks;
     Placer placer;
     PromptQueueDispatcher waiting;
--- a/src/hornbeamgate/runtime/gateway/wire_format.hpp
+++ b/src/hornbeamgate/runtime/gateway/wire_format.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hornbeamgate/gateway/endpoint_advisories.hpp"
 #include "hornbeamgate/gateway/endpoint_loads.hpp"
 #include "hornbeamgate/gateway/placement.hpp"
 #include "hornbeamgate/runtime/net/http_message.hpp"
@@ -44,6 +45,8 @@
     EndpointId endpoint; ///< empty if not specified
     std::optional<LoadReport> load;
     std::optional<WeightsVersion> weights;
+    EndpointAdvice advice;
+    std::string unreadableAdvice; ///< advice that could not be decoded; empty if there is none
 };
 
 /// Describes why the head of a request is invalid.
--- a/tests/platform/wire_format.test.cpp
+++ b/tests/platform/wire_format.test.cpp
@@ -144,3 +144,26 @@
     CHECK(fields.find("Retry-After") == "1.050");
     CHECK_FALSE(wire.encodeRefusal("9c41", std::nullopt).find("Retry-After"));
 }
+
+TEST_CASE("an engine's limit is decoded from a decimal number; anything else counts as not said [platform]")
+{
+    const platform::PlatformWireFormat wire;
+    const auto decode = [&wire](const std::vector<std::string>& values) {
+        HttpResponseHead head { 200, {} };
+        for (const auto& value : values)
+            head.fields.add("server-limit", value);
+        return wire.decodeResponse(head);
+    };
+    CHECK(decode({ "7.5" }).advice.requestsPerSecond == 7.5);
+    CHECK(decode({ "0" }).advice.requestsPerSecond == 0.0);
+    CHECK(decode({ "1000000000000000000000" }).advice.requestsPerSecond == 1e21);
+    CHECK(decode({ "8", "3.25" }).advice.requestsPerSecond == 3.25);
+    CHECK(decode({ "8", "x" }).advice.requestsPerSecond == 8.0);
+    CHECK(decode({}).unreadableAdvice.empty());
+    for (const auto* text : { "", "-1", "nan", "inf", "4/s", "1e3", " 4", "Sat, 05 Dec 2026 02:10:25 GMT" }) {
+        CAPTURE(text);
+        CHECK_FALSE(decode({ text }).advice.requestsPerSecond);
+        CHECK(decode({ text }).unreadableAdvice == "server-limit: " + std::string(text));
+    }
+    CHECK(decode({ std::string(5000, '9') + "x" }).unreadableAdvice.size() < 100);
+}
