--- a/src/hornbeamgate/runtime/gateway/peer_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.hpp
@@ -16,6 +16,8 @@
     static Result<std::unique_ptr<PeerTask>, NetError> create(GatewayState& state, DirectoryTask& directory, const DaemonEntry& self);
 
     void start();
+    /// Address at which other daemons reach this one.
+    const SocketAddress& address() const { return m_self.peers; }
     /// Sends a report to all other daemons immediately.
     void sendReport();
     /// Makes all daemons stop sending requests to an engine that is about to load weights.
