--- a/src/hornbeamgate/gateway/endpoint_advisories.cpp
+++ b/src/hornbeamgate/gateway/endpoint_advisories.cpp
@@ -1,45 +1,229 @@
 #include "hornbeamgate/gateway/endpoint_advisories.hpp"
 
+#include "hornbeamgate/base/hash.hpp"
+
 #include <algorithm>
+#include <cmath>
 
 namespace hornbeamgate::gateway {
 
+namespace {
+
+    using std::chrono::milliseconds;
+
+    /// Span over which demand is expressed, so that the demand of small services does not vanish in whole requests.
+    constexpr std::chrono::seconds kDemandHorizon { 10 };
+    /// Demand assumed of every daemon beside its own, so that an idle one can serve its next request: one per second.
+    constexpr std::int64_t kMinDemand = 10;
+    /// Requests that an unused share accumulates. Less than one, so that a daemon sends one request at a time.
+    constexpr double kUnusedShare = 0.2;
+    /// Share of a small request that has to be left over for large ones, which may take it in advance.
+    constexpr double kLargeAdvance = 0.5;
+    /// Number of daemons that share a limit of zero, and how many more share it for each request per second. What each of
+    /// them may send without having waited, a request with its advance, stays far below the limit for a few seconds.
+    constexpr double kMinDaemons = 2;
+    constexpr double kDaemonsPerRate = 0.75;
+    /// An endpoint that takes nothing is asked this often whether it still does, in requests per second.
+    constexpr double kMinRate = 0.25;
+    /// Time that a report of another daemon may take; its age does not include it.
+    constexpr milliseconds kMaxReportTransit { 500 };
+
+    double minLevel(RequestSize size)
+    {
+        return size == RequestSize::Large ? -kLargeAdvance : 0;
+    }
+
+} // namespace
+
+const EndpointAdvisories::State* EndpointAdvisories::find(const EndpointInstance& endpoint) const
+{
+    const auto found = m_endpoints.find(endpoint.id);
+    return found == m_endpoints.end() || found->second.incarnation != endpoint.incarnation ? nullptr : &found->second;
+}
+
+EndpointAdvisories::State* EndpointAdvisories::find(const EndpointInstance& endpoint)
+{
+    return const_cast<State*>(std::as_const(*this).find(endpoint));
+}
+
+EndpointAdvisories::State* EndpointAdvisories::obtain(const EndpointInstance& endpoint)
+{
+    auto& state = m_endpoints[endpoint.id];
+    if (endpoint.incarnation < state.incarnation)
+        return nullptr;
+    if (endpoint.incarnation > state.incarnation)
+        state = {};
+    state.incarnation = endpoint.incarnation;
+    state.service = endpoint.service;
+    return &state;
+}
+
+bool EndpointAdvisories::recordError(const EndpointInstance& endpoint, const EndpointAdvice& advice, MonotonicTime sentAt, MonotonicTime now)
+{
+    return advice.requestsPerSecond && recordResponse(endpoint, advice, sentAt, now);
+}
+
 bool EndpointAdvisories::recordResponse(const EndpointInstance& endpoint, const EndpointAdvice& advice, MonotonicTime sentAt, MonotonicTime now)
 {
-    auto found = m_limits.find(endpoint.id);
-    if (found != m_limits.end() && endpoint.incarnation < found->second.incarnation)
-        return false;
-    if (found != m_limits.end() && endpoint.incarnation > found->second.incarnation) {
-        m_limits.erase(found);
-        found = m_limits.end();
-    }
     if (!advice.requestsPerSecond) {
-        if (found == m_limits.end() || sentAt <= found->second.namedAt)
+        auto* known = find(endpoint);
+        if (!known || sentAt <= known->namedAt)
             return false;
-        m_limits.erase(found);
+        known->unlimitedAt = std::max(known->unlimitedAt, sentAt);
+        if (!known->limit)
+            return false;
+        known->limit.reset();
+        known->readAt = now;
         return true;
     }
+    auto* state = obtain(endpoint);
+    if (!state)
+        return false;
     auto limit = *advice.requestsPerSecond;
-    if (found == m_limits.end()) {
-        m_limits.emplace(endpoint.id, Limit { endpoint.incarnation, limit, now });
-        return true;
-    }
-    auto& known = found->second;
     // Of two responses that may have overtaken each other, the lower limit holds.
-    if (sentAt <= known.namedAt)
-        limit = std::min(limit, known.requestsPerSecond);
-    known.namedAt = now;
-    const bool isChange = limit != known.requestsPerSecond;
-    known.requestsPerSecond = limit;
+    if (state->limit && sentAt <= state->namedAt)
+        limit = std::min(limit, *state->limit);
+    if (!nameLimit(*state, endpoint.id, limit, now))
+        return false;
+    state->readAt = now;
+    return true;
+}
+
+bool EndpointAdvisories::recordPeerLimit(const EndpointInstance& endpoint, const AdvisedLimit& limit, MonotonicTime now)
+{
+    const auto at = now - limit.age;
+    if (limit.requestsPerSecond) {
+        auto* state = obtain(endpoint);
+        return state && at > state->namedAt && at > state->unlimitedAt && nameLimit(*state, endpoint.id, *limit.requestsPerSecond, at);
+    }
+    auto* known = find(endpoint);
+    if (!known || at - kMaxReportTransit <= known->namedAt)
+        return false;
+    known->unlimitedAt = std::max(known->unlimitedAt, at - kMaxReportTransit);
+    const bool isChange = known->limit.has_value();
+    known->limit.reset();
     return isChange;
 }
 
+bool EndpointAdvisories::nameLimit(State& state, const EndpointId& id, double limit, MonotonicTime now)
+{
+    state.namedAt = std::max(state.namedAt, now);
+    if (state.limit == limit)
+        return false;
+    if (!state.limit)
+        state.share = SharedTokenBucket(0, kUnusedShare, now);
+    state.limit = limit;
+    selectDaemons(state, id);
+    updateShare(state, now);
+    return true;
+}
+
+void EndpointAdvisories::selectDaemons(State& state, const EndpointId& id) const
+{
+    state.daemons = m_others;
+    state.daemons.push_back(m_self);
+    const double most = std::floor(kMinDaemons + kDaemonsPerRate * *state.limit);
+    if (static_cast<double>(state.daemons.size()) > most) {
+        const auto key = stableHash(id.value());
+        std::sort(state.daemons.begin(), state.daemons.end(), [key](const HostId& left, const HostId& right) { return rendezvousScore(left.value(), key) > rendezvousScore(right.value(), key); });
+        state.daemons.resize(static_cast<std::size_t>(most));
+    }
+    state.hasShare = std::find(state.daemons.begin(), state.daemons.end(), m_self) != state.daemons.end();
+}
+
+std::int64_t EndpointAdvisories::demandOf(const HostId& daemon, const ServiceId& service) const
+{
+    const auto reported = m_reportedDemand.find(daemon);
+    if (reported != m_reportedDemand.end()) {
+        if (const auto demand = reported->second.find(service); demand != reported->second.end())
+            return kMinDemand + demand->second;
+    }
+    // Until a daemon has reported its demand, it is taken to be like this one.
+    return daemon == m_self ? kMinDemand : demandOf(m_self, service);
+}
+
+void EndpointAdvisories::updateShare(State& state, MonotonicTime now) const
+{
+    std::int64_t total = 0;
+    for (const auto& daemon : state.daemons)
+        total += demandOf(daemon, state.service);
+    const double part = state.hasShare ? static_cast<double>(demandOf(m_self, state.service)) / static_cast<double>(total) : 0;
+    state.share.setLimits(std::max(*state.limit, kMinRate) * part, kUnusedShare, now);
+}
+
+void EndpointAdvisories::setFleet(std::vector<HostId> others, MonotonicTime now)
+{
+    const bool isChange = others != m_others;
+    m_others = std::move(others);
+    if (isChange)
+        std::erase_if(m_reportedDemand, [this](const auto& entry) { return entry.first != m_self && std::find(m_others.begin(), m_others.end(), entry.first) == m_others.end(); });
+    for (auto& [id, state] : m_endpoints) {
+        if (!state.limit)
+            continue;
+        if (isChange)
+            selectDaemons(state, id);
+        updateShare(state, now);
+    }
+}
+
+void EndpointAdvisories::recordRequest(const ServiceId& service, MonotonicTime now)
+{
+    m_demand[service].add({ 1, 0 }, now);
+}
+
+void EndpointAdvisories::setPeerDemand(const HostId& peer, const std::map<ServiceId, std::int64_t>& demand)
+{
+    auto& reported = m_reportedDemand[peer];
+    for (const auto& [service, requests] : demand)
+        reported[service] = requests;
+}
+
+AdvisoryReport EndpointAdvisories::report(MonotonicTime since, MonotonicTime now)
+{
+    AdvisoryReport report;
+    for (const auto& [id, state] : m_endpoints) {
+        if (state.readAt && *state.readAt >= since) {
+            const auto at = state.limit ? state.namedAt : state.unlimitedAt;
+            report.limits.push_back({ id, state.incarnation, state.limit, std::chrono::ceil<milliseconds>(now - at) });
+        }
+        if (state.limit && !report.demand.contains(state.service))
+            report.demand[state.service] = m_demand[state.service].expectedWithin(kDemandHorizon, now).requests;
+    }
+    if (!report.demand.empty())
+        m_reportedDemand[m_self] = report.demand;
+    return report;
+}
+
 std::optional<double> EndpointAdvisories::limitOf(const EndpointInstance& endpoint) const
 {
-    const auto found = m_limits.find(endpoint.id);
-    if (found == m_limits.end() || found->second.incarnation != endpoint.incarnation)
-        return std::nullopt;
-    return found->second.requestsPerSecond;
+    const auto* state = find(endpoint);
+    return state ? state->limit : std::nullopt;
+}
+
+double EndpointAdvisories::shareOf(const EndpointInstance& endpoint) const
+{
+    const auto* state = find(endpoint);
+    return state && state->limit ? state->share.rate() : 0;
+}
+
+bool EndpointAdvisories::admits(const EndpointInstance& endpoint, RequestSize size, MonotonicTime now) const
+{
+    const auto* state = find(endpoint);
+    return !state || !state->limit || (state->hasShare && state->share.level(now) > minLevel(size));
+}
+
+std::optional<MonotonicTime> EndpointAdvisories::nextAdmission(const EndpointInstance& endpoint, RequestSize size, MonotonicTime now) const
+{
+    const auto* state = find(endpoint);
+    if (!state || !state->limit)
+        return now;
+    return state->hasShare ? std::optional(state->share.timeOfLevel(minLevel(size), now)) : std::nullopt;
+}
+
+void EndpointAdvisories::recordSend(const EndpointInstance& endpoint, MonotonicTime now)
+{
+    if (auto* state = find(endpoint); state && state->limit)
+        state->share.charge(1, now);
 }
 
 } // namespace hornbeamgate::gateway
--- a/src/hornbeamgate/gateway/endpoint_advisories.hpp
+++ b/src/hornbeamgate/gateway/endpoint_advisories.hpp
@@ -2,9 +2,13 @@
 
 #include "hornbeamgate/base/ids.hpp"
 #include "hornbeamgate/base/time.hpp"
+#include "hornbeamgate/gateway/shared_token_bucket.hpp"
+#include "hornbeamgate/rates/demand_meter.hpp"
 
+#include <chrono>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace hornbeamgate::gateway {
 
@@ -13,34 +17,107 @@
     std::optional<double> requestsPerSecond; ///< the most that it takes from all daemons together
 };
 
+/// Size of a request as far as limits are concerned. A limit counts requests whatever they cost the endpoint, so large ones
+/// are admitted first.
+enum class RequestSize {
+    Small,
+    Large,
+};
+
 /// An incarnation of an endpoint, to which advice belongs.
 struct EndpointInstance {
     EndpointId id;
     Incarnation incarnation;
+    ServiceId service;
+};
+
+/// Limit that a daemon has read in a response, as it is told to other daemons.
+struct AdvisedLimit {
+    EndpointId endpoint;
+    Incarnation incarnation;
+    std::optional<double> requestsPerSecond; ///< none if the endpoint names no limit any more
+    std::chrono::milliseconds age {}; ///< of the response with the limit, or of the request that was answered without one
+};
+
+/// What a daemon tells the others about the endpoints' advice.
+struct AdvisoryReport {
+    std::vector<AdvisedLimit> limits;
+    std::map<ServiceId, std::int64_t> demand; ///< requests that the daemon expects within DemandHorizon
 };
 
-/// What the endpoints have asked for in their responses, as far as it still holds.
+/// What the endpoints have asked for in their responses, as far as it still holds, and this daemon's share of it.
 ///
 /// Advice belongs to one incarnation of an endpoint. It holds until the endpoint asks for something else, or for nothing, in
 /// a response to a request that was sent after the advice had been received: responses overtake each other.
+///
+/// A limit holds for all daemons together. It is divided by the demand that the daemons last reported, so that all of them
+/// compute the same shares. A daemon with a share may send a request without having waited for it, so only as many daemons
+/// share a limit as such requests are few beside it; rendezvous hashing selects them.
+///
+/// Designed for most engines of a fleet that name limits at the same time, under traffic that the balancer distributes
+/// unevenly over the daemons.
 class EndpointAdvisories {
 public:
-    /// Handles the head of a response, received at `now`, to a request that was sent to `endpoint` at `sentAt`. Returns true
-    /// if the endpoint's limit has changed.
+    explicit EndpointAdvisories(HostId self)
+        : m_self(std::move(self))
+    {
+    }
+
+    /// Handles the head of a successful response, received at `now`, to a request that was sent to `endpoint` at `sentAt`.
+    /// Returns true if the endpoint's limit has changed.
     bool recordResponse(const EndpointInstance& endpoint, const EndpointAdvice& advice, MonotonicTime sentAt, MonotonicTime now);
+    /// Handles a response that says nothing about what the endpoint does not ask for, such as an error.
+    bool recordError(const EndpointInstance& endpoint, const EndpointAdvice& advice, MonotonicTime sentAt, MonotonicTime now);
+    /// Handles what another daemon says of `endpoint`. Returns true if the endpoint's limit has changed.
+    bool recordPeerLimit(const EndpointInstance& endpoint, const AdvisedLimit& limit, MonotonicTime now);
+    void forget(const EndpointId& id) { m_endpoints.erase(id); }
+
+    /// Sets the other daemons that may be running.
+    void setFleet(std::vector<HostId> others, MonotonicTime now);
+    void recordRequest(const ServiceId& service, MonotonicTime now);
+    void setPeerDemand(const HostId& peer, const std::map<ServiceId, std::int64_t>& demand);
+    /// Returns what the other daemons have to know: limits read in responses since `since`, and the demand for services
+    /// with limited endpoints, by which the shares are computed from now on.
+    AdvisoryReport report(MonotonicTime since, MonotonicTime now);
 
     /// Returns the limit of requests per second over all daemons that the endpoint has named.
     std::optional<double> limitOf(const EndpointInstance& endpoint) const;
-    void forget(const EndpointId& id) { m_limits.erase(id); }
+    /// Returns this daemon's share of the limit in requests per second; zero if it has none.
+    double shareOf(const EndpointInstance& endpoint) const;
+    /// Returns whether the endpoint may be sent a request now.
+    bool admits(const EndpointInstance& endpoint, RequestSize size, MonotonicTime now) const;
+    /// Returns the earliest time at which the endpoint may be sent a request; none if this daemon has no share of its limit.
+    std::optional<MonotonicTime> nextAdmission(const EndpointInstance& endpoint, RequestSize size, MonotonicTime now) const;
+    /// Counts a request that is sent to the endpoint.
+    void recordSend(const EndpointInstance& endpoint, MonotonicTime now);
 
 private:
-    struct Limit {
+    struct State {
         Incarnation incarnation;
-        double requestsPerSecond = 0;
-        MonotonicTime namedAt; ///< last time the endpoint named it
+        ServiceId service;
+        std::optional<double> limit;
+        MonotonicTime namedAt {}; ///< last time the endpoint named a limit
+        MonotonicTime unlimitedAt {}; ///< the endpoint answered a request sent at this time without a limit
+        std::optional<MonotonicTime> readAt; ///< time of the last change that was read in a response
+        std::vector<HostId> daemons; ///< that share the limit, sorted
+        bool hasShare = false;
+        SharedTokenBucket share { 0, 0, MonotonicTime() };
     };
 
-    std::map<EndpointId, Limit> m_limits;
+    State* find(const EndpointInstance& endpoint);
+    const State* find(const EndpointInstance& endpoint) const;
+    /// Returns the state of the incarnation, or null if it has been replaced.
+    State* obtain(const EndpointInstance& endpoint);
+    bool nameLimit(State& state, const EndpointId& id, double limit, MonotonicTime now);
+    void selectDaemons(State& state, const EndpointId& id) const;
+    void updateShare(State& state, MonotonicTime now) const;
+    std::int64_t demandOf(const HostId& daemon, const ServiceId& service) const;
+
+    HostId m_self;
+    std::vector<HostId> m_others;
+    std::map<EndpointId, State> m_endpoints;
+    std::map<ServiceId, DemandMeter> m_demand;
+    std::map<HostId, std::map<ServiceId, std::int64_t>> m_reportedDemand; ///< of all daemons, including this one
 };
 
 } // namespace hornbeamgate::gateway
--- a/src/hornbeamgate/gateway/peer_report.cpp
+++ b/src/hornbeamgate/gateway/peer_report.cpp
@@ -32,6 +32,8 @@
     /// Ages and remaining times of a quarantine lie below this.
     constexpr std::chrono::hours kMaxQuarantineTime { 1 };
     constexpr int kMaxRenewals = 16;
+    /// Demand that a daemon can report for a service, in requests.
+    constexpr std::int64_t kMaxDemand = 1'000'000;
 
     milliseconds duration(const json& value)
     {
@@ -52,6 +54,32 @@
         return report;
     }
 
+    /// Stands for "no limit" in a report.
+    constexpr double kNoLimit = -1;
+
+    json encodeAdvisories(const AdvisoryReport& report)
+    {
+        json limits = json::array();
+        for (const auto& limit : report.limits)
+            limits.push_back(json::array({ limit.endpoint.value(), limit.incarnation.value(), limit.requestsPerSecond.value_or(kNoLimit), limit.age.count() }));
+        json demand = json::array();
+        for (const auto& [service, requests] : report.demand)
+            demand.push_back(json::array({ service.value(), requests }));
+        return json::array({ std::move(limits), std::move(demand) });
+    }
+
+    AdvisoryReport decodeAdvisories(const json& value)
+    {
+        AdvisoryReport report;
+        for (const auto& item : value.at(0)) {
+            const auto rate = item.at(2).get<double>();
+            report.limits.push_back({ EndpointId(item.at(0).get<std::string>()), Incarnation(item.at(1).get<std::uint64_t>()), rate >= 0 ? std::optional(rate) : std::nullopt, duration(item.at(3)) });
+        }
+        for (const auto& item : value.at(1))
+            report.demand[ServiceId(item.at(0).get<std::string>())] = std::clamp<std::int64_t>(item.at(1).get<std::int64_t>(), 0, kMaxDemand);
+        return report;
+    }
+
 } // namespace
 
 Bytes encodePeerReport(const PeerReport& report)
@@ -82,7 +110,7 @@
         blockUses.push_back(json::array({ blockUse.endpoint.value(), blockUse.blocks, blockUse.age.count() }));
     return toCbor(json::array({ report.host.value(), report.incarnation.value(), std::move(ends), std::move(drawn), std::move(loading),
         report.address.ip, report.address.port, std::move(loaded), std::move(pendingPrefills), report.leadership.isLeader, report.leadership.resignations, report.isLeaving, json::array(), std::move(blockUses),
-        report.leadership.generation.value(), report.leadership.resignedGeneration.value(), std::move(targetAges), std::move(orderAges), report.isAskingForOrderAges, encodeQuarantine(report.quarantine) }));
+        report.leadership.generation.value(), report.leadership.resignedGeneration.value(), std::move(targetAges), std::move(orderAges), report.isAskingForOrderAges, encodeQuarantine(report.quarantine), encodeAdvisories(report.advisories) }));
 }
 
 Result<PeerReport, CodecError> decodePeerReport(BytesView encoded)
@@ -91,6 +119,8 @@
     constexpr std::size_t kFieldsWithoutGenerations = 14;
     /// Reports of daemons that do not quarantine prompts end here.
     constexpr std::size_t kFieldsWithoutQuarantine = 19;
+    /// Reports of daemons that do not keep to limits of endpoints end here.
+    constexpr std::size_t kFieldsWithoutAdvisories = 20;
     const auto value = fromCbor(encoded);
     if (!value)
         return failure(value.error());
@@ -126,6 +156,8 @@
         report.isAskingForOrderAges = value->at(18).get<bool>();
         if (value->size() > kFieldsWithoutQuarantine)
             report.quarantine = decodeQuarantine(value->at(19));
+        if (value->size() > kFieldsWithoutAdvisories)
+            report.advisories = decodeAdvisories(value->at(20));
         return report;
     } catch (const json::exception& error) {
         return failure(CodecError { error.what() });
--- a/src/hornbeamgate/gateway/peer_report.hpp
+++ b/src/hornbeamgate/gateway/peer_report.hpp
@@ -4,6 +4,7 @@
 #include "hornbeamgate/base/socket_address.hpp"
 #include "hornbeamgate/gateway/block_directory.hpp"
 #include "hornbeamgate/gateway/directory_replica.hpp"
+#include "hornbeamgate/gateway/endpoint_advisories.hpp"
 #include "hornbeamgate/gateway/prompt_quarantine.hpp"
 #include "hornbeamgate/gateway/rollout_election.hpp"
 #include "hornbeamgate/gateway/weights_rollout.hpp"
@@ -43,6 +44,7 @@
     std::vector<BlockUse> blockUses; ///< recent sends of shared prompts
     std::map<EndpointId, std::int64_t> pendingPrefillTokens; ///< prompt tokens sent to engines that still wait for prefill
     QuarantineReport quarantine;
+    AdvisoryReport advisories;
 };
 
 Bytes encodePeerReport(const PeerReport& report);
--- a/src/hornbeamgate/gateway/peer_table.cpp
+++ b/src/hornbeamgate/gateway/peer_table.cpp
@@ -37,10 +37,17 @@
 
 std::size_t PeerTable::runningCount(MonotonicTime now) const
 {
-    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [now](const auto& entry) {
-        const auto& peer = entry.second;
-        return peer.heardAt ? now < *peer.heardAt + kRunningTimeout : now < peer.addedAt + kNeverHeardTimeout;
-    }));
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [now](const auto& entry) { return entry.second.mayBeRunning(now); }));
+}
+
+std::vector<HostId> PeerTable::running(MonotonicTime now) const
+{
+    std::vector<HostId> hosts;
+    for (const auto& [host, peer] : m_peers) {
+        if (peer.mayBeRunning(now))
+            hosts.push_back(host);
+    }
+    return hosts;
 }
 
 std::vector<SocketAddress> PeerTable::addresses() const
--- a/src/hornbeamgate/gateway/peer_table.hpp
+++ b/src/hornbeamgate/gateway/peer_table.hpp
@@ -34,12 +34,15 @@
     std::size_t heardStartedAfter(Incarnation incarnation, MonotonicTime now) const;
     /// Returns the number of daemons that may be running, including those that are heard.
     std::size_t runningCount(MonotonicTime now) const;
+    /// Returns the daemons that may be running, sorted.
+    std::vector<HostId> running(MonotonicTime now) const;
     std::vector<SocketAddress> addresses() const;
     const SocketAddress* addressOf(const HostId& host) const;
 
 private:
     struct Peer {
         bool isHeard(MonotonicTime now) const { return heardAt && now < *heardAt + kHeardTimeout; }
+        bool mayBeRunning(MonotonicTime now) const { return now < (heardAt ? *heardAt + kRunningTimeout : addedAt + kNeverHeardTimeout); }
 
         SocketAddress address;
         Incarnation incarnation;
--- a/src/hornbeamgate/gateway/placement.cpp
+++ b/src/hornbeamgate/gateway/placement.cpp
@@ -65,6 +65,31 @@
         return durationAtRate(tokens, kPrefillTokensPerMs);
     }
 
+    /// Endpoints that get no more requests now, because of the limits that they named.
+    struct LimitedEndpoints {
+        void add(double share, std::optional<MonotonicTime> next)
+        {
+            ++count;
+            rate += share;
+            if (next)
+                nextAdmission = std::min(nextAdmission.value_or(*next), *next);
+        }
+
+        Placement refusal(MonotonicTime now) const
+        {
+            Placement placement;
+            placement.refusal = PlacementRefusal::AtLimit;
+            placement.admissionRate = rate;
+            if (nextAdmission)
+                placement.expectedWait = std::chrono::ceil<milliseconds>(*nextAdmission - now);
+            return placement;
+        }
+
+        std::size_t count = 0;
+        double rate = 0; ///< requests per second that they take from this daemon
+        std::optional<MonotonicTime> nextAdmission;
+    };
+
     bool isUnresponsive(const EndpointId& id, const EndpointLoads& loads, MonotonicTime now)
     {
         return loads.isFailing(id, now) || loads.oldestUnanswered(id, now) > kSlowAnswerThreshold;
@@ -83,18 +108,28 @@
     const auto shared = sharedPrefix(request);
     const auto peers = groupByWeights(entries, request, shared, view, now);
     std::optional<Candidate> best;
+    LimitedEndpoints limited;
+    const auto size = shared.tokens + shared.ownTokens >= kLongPromptTokens ? RequestSize::Large : RequestSize::Small;
     for (const auto* entry : entries) {
         if (request.tried.contains(entry->id))
             continue;
+        const EndpointInstance instance { entry->id, entry->incarnation, entry->service };
+        if (!view.advisories.admits(instance, size, now)) {
+            limited.add(view.advisories.shareOf(instance), view.advisories.nextAdmission(instance, size, now));
+            continue;
+        }
         const auto candidate = estimate(*entry, request, shared, peers, view, now);
         if (!best || candidate.cost < best->cost)
             best = candidate;
     }
+    const bool isTooLate = best && best->firstAnswerTime > request.timeLeft;
+    if (limited.count > 0 && (!best || isTooLate))
+        return limited.refusal(now);
     Placement placement;
     if (!best)
         return placement;
     placement.expectedWait = std::chrono::ceil<milliseconds>(best->firstAnswerTime);
-    if (best->firstAnswerTime > request.timeLeft) {
+    if (isTooLate) {
         placement.refusal = PlacementRefusal::AllBusy;
         return placement;
     }
--- a/src/hornbeamgate/gateway/placement.hpp
+++ b/src/hornbeamgate/gateway/placement.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hornbeamgate/gateway/block_directory.hpp"
+#include "hornbeamgate/gateway/endpoint_advisories.hpp"
 #include "hornbeamgate/gateway/endpoint_loads.hpp"
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
 #include "hornbeamgate/gateway/fleet_config.hpp"
@@ -43,6 +44,7 @@
 struct EndpointView {
     const EndpointRegistry& registry;
     const EndpointLoads& loads;
+    const EndpointAdvisories& advisories;
     const BlockDirectory& blocks;
 };
 
@@ -50,6 +52,7 @@
 enum class PlacementRefusal {
     NoEndpoint, ///< the service has no available endpoint
     AllBusy, ///< no endpoint is expected to answer in the remaining time
+    AtLimit, ///< the endpoints that could answer in time get no more requests now, because of the limits that they named
 };
 
 struct Placement {
@@ -60,7 +63,8 @@
     std::int64_t prefillTokens = 0; ///< prompt tokens that the endpoint is expected neither to hold nor to fetch
     bool hasRoom = true; ///< false for a long prompt if the endpoint's prefill backlog is full
     PlacementRefusal refusal = PlacementRefusal::NoEndpoint;
-    std::chrono::milliseconds expectedWait {}; ///< until the first response of the best endpoint
+    std::chrono::milliseconds expectedWait {}; ///< until the first response of the best endpoint, or until one admits a request
+    double admissionRate = 0; ///< requests per second that the endpoints at their limits admit from this daemon
 };
 
 /// Chooses endpoints by the expected time to the first response.
--- a/src/hornbeamgate/gateway/shared_token_bucket.cpp
+++ b/src/hornbeamgate/gateway/shared_token_bucket.cpp
@@ -34,34 +34,38 @@
     return true;
 }
 
-void SharedTokenBucket::chargeRemote(double units, MonotonicTime now)
+void SharedTokenBucket::charge(double units, MonotonicTime now)
 {
     refill(now);
     m_level -= units;
 }
 
-MonotonicTime SharedTokenBucket::nextDraw(MonotonicTime now)
+MonotonicTime SharedTokenBucket::nextDraw(MonotonicTime now) const
 {
-    refill(now);
+    return timeOfLevel(0, now);
+}
+
+MonotonicTime SharedTokenBucket::timeOfLevel(double wanted, MonotonicTime now) const
+{
+    const double missing = wanted - level(now);
     const double rate = m_unitsPerSecond * m_reachableShare;
-    if (m_level > 0 || rate <= 0)
+    if (missing < 0 || rate <= 0)
         return now;
-    return now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(-m_level / rate));
+    return now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(missing / rate));
 }
 
-double SharedTokenBucket::level(MonotonicTime now)
+double SharedTokenBucket::level(MonotonicTime now) const
 {
-    refill(now);
-    return m_level;
+    if (now <= m_refilledAt)
+        return m_level;
+    const double seconds = std::chrono::duration<double>(now - m_refilledAt).count();
+    return std::min(m_burst, m_level + m_unitsPerSecond * m_reachableShare * seconds);
 }
 
 void SharedTokenBucket::refill(MonotonicTime now)
 {
-    if (now <= m_refilledAt)
-        return;
-    const double seconds = std::chrono::duration<double>(now - m_refilledAt).count();
-    m_level = std::min(m_burst, m_level + m_unitsPerSecond * m_reachableShare * seconds);
-    m_refilledAt = now;
+    m_level = level(now);
+    m_refilledAt = std::max(m_refilledAt, now);
 }
 
 } // namespace hornbeamgate::gateway
--- a/src/hornbeamgate/gateway/shared_token_bucket.hpp
+++ b/src/hornbeamgate/gateway/shared_token_bucket.hpp
@@ -29,13 +29,17 @@
     /// Draws `units`. Returns false and draws nothing if the level is not above zero.
     bool draw(double units, MonotonicTime now);
 
-    /// Charges units that another daemon reported as drawn.
-    void chargeRemote(double units, MonotonicTime now);
+    /// Charges units that are drawn whatever the level, such as those that another daemon reported.
+    void charge(double units, MonotonicTime now);
 
     /// Returns the earliest time at which a draw can succeed if there are no other draws until then.
-    MonotonicTime nextDraw(MonotonicTime now);
+    MonotonicTime nextDraw(MonotonicTime now) const;
 
-    double level(MonotonicTime now);
+    /// Returns the earliest time at which the level is above `wanted` if there are no draws until then.
+    MonotonicTime timeOfLevel(double wanted, MonotonicTime now) const;
+
+    double level(MonotonicTime now) const;
+    double rate() const { return m_unitsPerSecond; }
 
 private:
     void refill(MonotonicTime now);
--- a/src/hornbeamgate/gateway/workspace_rate_limiter.cpp
+++ b/src/hornbeamgate/gateway/workspace_rate_limiter.cpp
@@ -41,7 +41,7 @@
     const auto found = m_buckets.find(workspace);
     if (found == m_buckets.end())
         return;
-    found->second.chargeRemote(-static_cast<double>(units), now);
+    found->second.charge(-static_cast<double>(units), now);
     m_drawn[workspace] -= units;
 }
 
@@ -61,7 +61,7 @@
         auto& base = known.drawn[workspace];
         const auto found = m_buckets.find(workspace);
         if (!isFirst && found != m_buckets.end())
-            found->second.chargeRemote(static_cast<double>(units - base), now);
+            found->second.charge(static_cast<double>(units - base), now);
         base = units;
     }
 }
--- a/src/hornbeamgate/observability/metrics.cpp
+++ b/src/hornbeamgate/observability/metrics.cpp
@@ -22,6 +22,7 @@
         "hornbeamgate_requests_refused_total",
         "hornbeamgate_requests_failed_total",
         "hornbeamgate_requests_quarantined_total",
+        "hornbeamgate_requests_at_limit_total",
         "hornbeamgate_stream_pieces_total",
         "hornbeamgate_runs_resumed_total",
         "hornbeamgate_runs_retried_total",
--- a/src/hornbeamgate/observability/metrics.hpp
+++ b/src/hornbeamgate/observability/metrics.hpp
@@ -15,6 +15,7 @@
     RequestsRefused,
     RequestsFailed,
     RequestsQuarantined,
+    RequestsAtLimit,
     StreamPieces,
     RunsResumed,
     RunsRetried,
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -350,6 +350,7 @@
         forgetEndpoint(id);
         logEvent(LogEvent::EndpointsChanged, { { "endpoint", id.value() }, { "state", "gone" } });
     }
+    m_state.advisories.setFleet(m_state.peers.running(now), now);
     m_state.rates.setFleet(m_state.peers.heardCount(now) + 1, m_state.peers.runningCount(now) + 1, now);
     m_expiryTimer.set(now + kExpiryInterval);
 }
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -39,6 +39,9 @@
     /// Minimum retry time for refused callers; addRetryJitter() adds jitter so that they do not all return at once.
     constexpr milliseconds kMinRetryAfter { 100 };
     constexpr milliseconds kDefaultRetryAfter { 400 };
+    /// Longer than the deadline of any request; an expected wait is cut to it.
+    constexpr std::chrono::duration<double> kMaxAdmissionWait { 3600 };
+    constexpr std::string_view kAtLimitReason = "all endpoints are at the limits that they named";
     /// Maximum retry time for requests whose prompts are quarantined.
     constexpr milliseconds kMaxQuarantineRetryAfter { 10000 };
     /// Number of route priority levels; a workspace's priority takes precedence over the route's.
@@ -85,6 +88,7 @@
         return;
     m_deadlineTimer.set(m_deadline);
     m_state.retryBudget(m_service).recordRequest(MonotonicClock::now());
+    m_state.advisories.recordRequest(m_service, MonotonicClock::now());
     sendOrQueue();
 }
 
@@ -171,17 +175,19 @@
 void GatewayRequest::waitForCapacity()
 {
     const auto now = MonotonicClock::now();
-    const auto wait = m_state.waiting.expectedWait();
+    auto& queue = m_state.queueOf(m_service);
+    const auto wait = std::max(queue.expectedWait(), m_admissionWait.value_or(Duration::zero()));
     if (now + wait + PromptQueue::kMinTimeLeft > m_deadline) {
         refuseForCapacity(std::chrono::ceil<milliseconds>(wait));
         return;
     }
-    m_queueTicket = m_state.waiting.add(m_deadline, { [this] { return trySend(); }, [this] { refuseForCapacity(kDefaultRetryAfter); } });
+    const auto reason = m_admissionWait ? PromptQueueDispatcher::Reason::Admission : PromptQueueDispatcher::Reason::Room;
+    m_queueTicket = queue.add(m_deadline, { reason, [this] { return trySend(); }, [this] { refuseForCapacity(kDefaultRetryAfter); } });
 }
 
 void GatewayRequest::refuseForCapacity(milliseconds wait)
 {
-    refuse({ m_mayHaveExecuted ? kBadGateway : kUnavailable, "no engine has room in time", addRetryJitter(wait) });
+    refuse({ m_mayHaveExecuted ? kBadGateway : kUnavailable, m_admissionWait ? kAtLimitReason : "no engine has room in time", addRetryJitter(wait) });
 }
 
 bool GatewayRequest::trySend()
@@ -189,20 +195,42 @@
     const auto now = MonotonicClock::now();
     if (refuseQuarantined(now))
         return true;
-    const auto placement = m_state.placer.choose(makePlacementRequest(now), { m_state.registry, m_state.loads, m_state.blocks }, now);
+    const auto placement = m_state.placer.choose(makePlacementRequest(now), { m_state.registry, m_state.loads, m_state.advisories, m_state.blocks }, now);
     const auto* endpoint = placement.endpoint ? m_state.registry.find(*placement.endpoint) : nullptr;
     // An interrupted stream is resumed without waiting for capacity, since its caller is waiting for the next event.
     if (endpoint && !placement.hasRoom && !m_hasBegunResponse)
         return false;
+    if (!endpoint && placement.admissionRate > 0) {
+        awaitAdmission(placement);
+        return false;
+    }
     if (!endpoint) {
         refuseUnplaced(placement);
         return true;
     }
+    if (wouldOvertake(*endpoint)) {
+        m_admissionWait = Duration::zero();
+        return false;
+    }
     m_queueTicket.dispatch();
     send(*endpoint, placement);
     return true;
 }
 
+void GatewayRequest::awaitAdmission(const Placement& placement)
+{
+    if (!m_admissionWait)
+        m_state.metrics.add(Counter::RequestsAtLimit);
+    const std::chrono::duration<double> ahead(static_cast<double>(m_state.queueOf(m_service).size()) / placement.admissionRate);
+    m_admissionWait = std::max<Duration>(placement.expectedWait, std::chrono::duration_cast<Duration>(std::min(ahead, kMaxAdmissionWait)));
+}
+
+bool GatewayRequest::wouldOvertake(const EndpointEntry& endpoint)
+{
+    return !m_queueTicket.isHeld() && m_state.advisories.limitOf({ endpoint.id, endpoint.incarnation, endpoint.service })
+        && m_state.queueOf(m_service).hasWaiters(PromptQueueDispatcher::Reason::Admission);
+}
+
 bool GatewayRequest::refuseQuarantined(MonotonicTime now)
 {
     const auto until = m_state.quarantine.withheldUntil(m_sharedParts, now);
@@ -222,6 +250,10 @@
         refuse({ kBadGateway, "no endpoint left", {} });
         return;
     }
+    if (placement.refusal == PlacementRefusal::AtLimit) {
+        refuse({ kUnavailable, kAtLimitReason, addRetryJitter(kDefaultRetryAfter) });
+        return;
+    }
     const bool isBusy = placement.refusal == PlacementRefusal::AllBusy;
     refuse({ kUnavailable, isBusy ? "all endpoints busy" : "no endpoint", addRetryJitter(isBusy ? placement.expectedWait / 2 : kDefaultRetryAfter) });
 }
@@ -293,6 +325,7 @@
     if (placement.blocks)
         m_state.blocks.recordUse(endpoint.id, *placement.blocks, now);
     m_state.loads.sent(endpoint.id, m_sendNumber, placement.prefillTokens, now);
+    m_state.advisories.recordSend({ endpoint.id, endpoint.incarnation, endpoint.service }, now);
     const auto metadata = forwardMetadata(endpoint, placement, now);
     m_requiredWeights = metadata.requiredWeights;
     if (placement.blocks)
@@ -352,10 +385,13 @@
         return;
     if (!m_responseMetadata.unreadableAdvice.empty())
         logEvent(LogEvent::AdviceUnreadable, { { "endpoint", m_endpoint.value() }, { "field", m_responseMetadata.unreadableAdvice } });
-    const EndpointInstance endpoint { m_endpoint, m_incarnation };
-    if (!m_state.advisories.recordResponse(endpoint, m_responseMetadata.advice, m_sentAt, now))
+    const EndpointInstance endpoint { m_endpoint, m_incarnation, m_service };
+    const bool isSuccess = m_responseMetadata.isSigned && m_responseHead->status / kStatusClass == kSuccessClass;
+    const bool isChange = isSuccess ? m_state.advisories.recordResponse(endpoint, m_responseMetadata.advice, m_sentAt, now)
+                                    : m_state.advisories.recordError(endpoint, m_responseMetadata.advice, m_sentAt, now);
+    if (!isChange)
         return;
-    logEvent(LogEvent::EndpointLimited, { { "endpoint", m_endpoint.value() }, { "per_second", m_state.advisories.limitOf(endpoint).value_or(-1) }, { "request", m_metadata.requestId } });
+    logEvent(LogEvent::EndpointLimited, { { "endpoint", m_endpoint.value() }, { "per_second", m_state.advisories.limitOf(endpoint).value_or(-1) }, { "share", m_state.advisories.shareOf(endpoint) }, { "request", m_metadata.requestId } });
 }
 
 void GatewayRequest::onBody(std::string_view bytes)
--- a/src/hornbeamgate/runtime/gateway/gateway_state.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_state.hpp
@@ -25,6 +25,7 @@
     GatewayState(const GatewaySettings& configured, const WireFormat& format)
         : settings(configured)
         , wire(format)
+        , advisories(configured.common.host)
         , placer(DaemonLocation { configured.common.dataCenter, configured.common.region, configured.regions })
         , weightsRollout(configured.common.host, configured.leaderLease, configured.weightsBound)
     {
@@ -36,6 +37,9 @@
         return retryBudgets.try_emplace(service, settings.retries).first->second;
     }
 
+    /// Returns the requests of a service that wait for capacity.
+    PromptQueueDispatcher& queueOf(const ServiceId& service) { return waiting.try_emplace(service).first->second; }
+
     /// Returns the time since the configuration was last confirmed to be the newest, or -1 ms if it never was.
     std::chrono::milliseconds configAge(MonotonicTime now) const
     {
@@ -51,7 +55,7 @@
     EndpointAdvisories advisories;
     BlockDirectory blocks;
     Placer placer;
-    PromptQueueDispatcher waiting;
+    std::map<ServiceId, PromptQueueDispatcher> waiting; ///< requests of each service that wait for capacity
     PromptQuarantine quarantine;
     WorkspaceRateLimiter rates;
     PeerTable peers;
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -107,6 +107,7 @@
     const auto observedSince = now - kReportsPerObservation * reportInterval();
     report.blockUses = m_state.blocks.recentLocalUses(observedSince, now);
     report.quarantine = m_state.quarantine.report(observedSince, now);
+    report.advisories = m_state.advisories.report(observedSince, now);
     report.pendingPrefillTokens = m_state.loads.localPendingPrefillTokens();
     return report;
 }
@@ -164,11 +165,27 @@
         applyLoaded(weights);
     m_state.blocks.recordPeerUses(report->blockUses, now);
     m_state.loads.setPeerPendingPrefillTokens(report->host, report->pendingPrefillTokens, now);
-    if (!m_standstills.mayReadBacklog(now))
+    // The ages in a report that was received late are too low.
+    if (!m_standstills.mayReadBacklog(now)) {
         logQuarantineChanges(m_state.quarantine.recordPeerReport(report->quarantine, now));
+        applyAdvisories(*report, now);
+    }
     fetchNewerRecords(*report);
 }
 
+void PeerTask::applyAdvisories(const PeerReport& report, MonotonicTime now)
+{
+    m_state.advisories.setPeerDemand(report.host, report.advisories.demand);
+    for (const auto& limit : report.advisories.limits) {
+        const auto* known = m_state.registry.find(limit.endpoint);
+        if (!known)
+            continue;
+        const EndpointInstance endpoint { limit.endpoint, limit.incarnation, known->service };
+        if (m_state.advisories.recordPeerLimit(endpoint, limit, now))
+            logEvent(LogEvent::EndpointLimited, { { "endpoint", limit.endpoint.value() }, { "per_second", limit.requestsPerSecond.value_or(-1) }, { "share", m_state.advisories.shareOf(endpoint) }, { "peer", report.host.value() } });
+    }
+}
+
 void PeerTask::sendOrderAges(const SocketAddress& leader, MonotonicTime now)
 {
     auto report = makeReport(now);
--- a/src/hornbeamgate/runtime/gateway/prompt_queue_dispatcher.cpp
+++ b/src/hornbeamgate/runtime/gateway/prompt_queue_dispatcher.cpp
@@ -1,13 +1,15 @@
 #include "hornbeamgate/runtime/gateway/prompt_queue_dispatcher.hpp"
 
+#include <algorithm>
+
 namespace hornbeamgate::gateway {
 
 namespace {
 
     /// Interval between dispatch attempts: a few round trips to an engine, and far below the time to process a long prompt.
     constexpr std::chrono::milliseconds kRetryInterval { 20 };
-    /// Failed attempts after which the remaining requests wait for the next interval. More than one request is tried, since
-    /// their prompts may be cached on different engines.
+    /// Failed attempts after which the remaining requests that wait for the same reason are left until the next interval. More
+    /// than one is tried, since their prompts may be cached on different engines.
     constexpr int kMaxFailedAttempts = 8;
 
 } // namespace
@@ -40,6 +42,11 @@
     return { *this, number };
 }
 
+bool PromptQueueDispatcher::hasWaiters(Reason reason) const
+{
+    return std::any_of(m_waiters.begin(), m_waiters.end(), [reason](const auto& entry) { return entry.second.reason == reason; });
+}
+
 void PromptQueueDispatcher::dispatch(PromptQueue::Number number)
 {
     if (m_waiters.erase(number) > 0)
@@ -62,15 +69,16 @@
 {
     for (const auto number : m_queue.takeExpired(MonotonicClock::now()))
         refuse(number);
-    int failed = 0;
+    std::map<Reason, int> failed;
     for (const auto number : m_queue.byDeadline()) {
         const auto waiter = m_waiters.find(number);
         if (waiter == m_waiters.end())
             continue;
         // The call may remove the waiter from the map, so its callback is copied first.
+        const auto reason = waiter->second.reason;
         const auto tryAgain = waiter->second.tryAgain;
-        if (!tryAgain() && ++failed >= kMaxFailedAttempts)
-            break;
+        if (failed[reason] < kMaxFailedAttempts && !tryAgain())
+            ++failed[reason];
     }
     if (!m_waiters.empty())
         m_timer.set(MonotonicClock::now() + kRetryInterval);
--- a/src/hornbeamgate/runtime/gateway/prompt_queue_dispatcher.hpp
+++ b/src/hornbeamgate/runtime/gateway/prompt_queue_dispatcher.hpp
@@ -12,7 +12,14 @@
 /// Periodically retries queued requests until each is sent, refused or removed.
 class PromptQueueDispatcher {
 public:
+    /// What a request waits for.
+    enum class Reason {
+        Room, ///< an engine that has little left to prefill
+        Admission, ///< an endpoint that has named a limit
+    };
+
     struct Waiter {
+        Reason reason;
         std::function<bool()> tryAgain; ///< returns true if the request has left the queue
         std::function<void()> refuse; ///< called when the request can no longer be completed in time
     };
@@ -41,6 +48,7 @@
         void dispatch();
         /// Leaves the queue for any other reason.
         void release();
+        bool isHeld() const { return m_dispatcher != nullptr; }
 
     private:
         friend PromptQueueDispatcher;
@@ -60,6 +68,8 @@
     Duration expectedWait() const { return m_queue.expectedWait(MonotonicClock::now()); }
     [[nodiscard]] Ticket add(MonotonicTime deadline, Waiter waiter);
     std::size_t size() const { return m_queue.size(); }
+    /// Returns whether a request waits for `reason`.
+    bool hasWaiters(Reason reason) const;
     /// Refuses all queued requests, because the daemon shuts down.
     void refuseAll();
 
--- a/tests/gateway/peer_report.test.cpp
+++ b/tests/gateway/peer_report.test.cpp
@@ -27,8 +27,18 @@
     report.quarantine.answered.push_back({ 5, 20ms });
     report.quarantine.survivors.push_back({ 6, 1100ms, 30ms });
     report.quarantine.quarantined.push_back({ { 7, 8 }, 110s, 40ms, 2 });
+    report.advisories.limits.push_back({ EndpointId("e"), Incarnation(9), 3.5, 40ms });
+    report.advisories.limits.push_back({ EndpointId("f"), Incarnation(8), std::nullopt, 50ms });
+    report.advisories.demand[ServiceId("s")] = 77;
     const auto decoded = decodePeerReport(encodePeerReport(report));
     REQUIRE(decoded);
+    REQUIRE(decoded->advisories.limits.size() == 2);
+    CHECK(decoded->advisories.limits[0].endpoint == EndpointId("e"));
+    CHECK(decoded->advisories.limits[0].incarnation == Incarnation(9));
+    CHECK(decoded->advisories.limits[0].requestsPerSecond == 3.5);
+    CHECK(decoded->advisories.limits[0].age == 40ms);
+    CHECK_FALSE(decoded->advisories.limits[1].requestsPerSecond);
+    CHECK(decoded->advisories.demand == report.advisories.demand);
     CHECK(decoded->host == report.host);
     CHECK(decoded->incarnation == report.incarnation);
     CHECK(decoded->address == report.address);
--- a/tests/gateway/peer_table.test.cpp
+++ b/tests/gateway/peer_table.test.cpp
@@ -23,7 +23,9 @@
     CHECK(peers.heardCount(at(1s)) == 1);
     CHECK(peers.heardCount(at(2s)) == 0);
     CHECK(peers.runningCount(at(11s)) == 1);
+    CHECK(peers.running(at(11s)) == std::vector { HostId("a") });
     CHECK(peers.runningCount(at(12s)) == 0);
+    CHECK(peers.running(at(12s)).empty());
 }
 
 TEST_CASE("a registered daemon that was never heard counts only briefly [peers]")
--- a/tests/gateway/placement.test.cpp
+++ b/tests/gateway/placement.test.cpp
@@ -19,6 +19,7 @@
 const ServiceId kService("s");
 const ModelId kModel("m");
 const BlockDirectory kNoBlocks;
+const EndpointAdvisories kNoAdvice { HostId("front-1") };
 
 EndpointEntry engine(std::size_t number, const std::string& dataCenter, std::uint64_t version = 1)
 {
@@ -76,7 +77,7 @@
     auto far = placerAt("c");
     for (int i = 0; i < 50; ++i) {
         const auto request = longPrompt("prefix " + std::to_string(i));
-        CHECK(near.choose(request, { registry, loads, kNoBlocks }, at(0ms)).endpoint == far.choose(request, { registry, loads, kNoBlocks }, at(0ms)).endpoint);
+        CHECK(near.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(0ms)).endpoint == far.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(0ms)).endpoint);
     }
 }
 
@@ -87,19 +88,19 @@
     BlockDirectory blocks;
     auto placer = placerAt("a");
     const auto request = longPrompt("hot");
-    const auto home = placer.choose(request, { registry, loads, blocks }, at(0ms));
+    const auto home = placer.choose(request, { registry, loads, kNoAdvice, blocks }, at(0ms));
     REQUIRE(home.endpoint);
     REQUIRE(home.blocks);
     CHECK(home.prefillTokens == 17'000);
     const EndpointId holder(home.endpoint == EndpointId("e101") ? "e102" : "e101");
     blocks.recordUse(holder, *home.blocks, at(0ms));
-    const auto held = placer.choose(request, { registry, loads, blocks }, at(1s));
+    const auto held = placer.choose(request, { registry, loads, kNoAdvice, blocks }, at(1s));
     CHECK(held.endpoint == holder);
     CHECK(held.prefillTokens == 3700);
     std::uint64_t number = 0;
     for (int i = 0; i < 8; ++i)
         loads.sent(holder, ++number, 3700, at(1s));
-    const auto further = placer.choose(request, { registry, loads, blocks }, at(1001ms));
+    const auto further = placer.choose(request, { registry, loads, kNoAdvice, blocks }, at(1001ms));
     CHECK(further.endpoint != holder);
     CHECK(further.blockSource == holder);
     CHECK(further.prefillTokens == 3700);
@@ -112,14 +113,14 @@
     BlockDirectory blocks;
     auto placer = placerAt("a");
     auto request = longPrompt("hot");
-    const auto key = placer.choose(request, { registry, loads, blocks }, at(0ms)).blocks;
+    const auto key = placer.choose(request, { registry, loads, kNoAdvice, blocks }, at(0ms)).blocks;
     REQUIRE(key);
     request.tried.insert(EndpointId("e100"));
     blocks.recordUse(EndpointId("e100"), *key, at(0ms));
-    CHECK_FALSE(placer.choose(request, { registry, loads, blocks }, at(200ms)).blockSource);
-    CHECK(placer.choose(request, { registry, loads, blocks }, at(1s)).blockSource == EndpointId("e100"));
+    CHECK_FALSE(placer.choose(request, { registry, loads, kNoAdvice, blocks }, at(200ms)).blockSource);
+    CHECK(placer.choose(request, { registry, loads, kNoAdvice, blocks }, at(1s)).blockSource == EndpointId("e100"));
     loads.sent(EndpointId("e100"), 1, 300, at(0ms));
-    const auto silent = placer.choose(request, { registry, loads, blocks }, at(2s));
+    const auto silent = placer.choose(request, { registry, loads, kNoAdvice, blocks }, at(2s));
     CHECK_FALSE(silent.blockSource);
     CHECK(silent.prefillTokens == 17'000);
 }
@@ -132,9 +133,9 @@
     int moved = 0;
     for (int i = 0; i < 20; ++i) {
         auto request = longPrompt("prefix " + std::to_string(i));
-        const auto shared = placer.choose(request, { registry, loads, kNoBlocks }, at(0ms)).endpoint;
+        const auto shared = placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(0ms)).endpoint;
         request.cacheDomain = "walled";
-        moved += placer.choose(request, { registry, loads, kNoBlocks }, at(0ms)).endpoint != shared ? 1 : 0;
+        moved += placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(0ms)).endpoint != shared ? 1 : 0;
     }
     CHECK(moved > 10);
 }
@@ -146,7 +147,7 @@
     auto placer = placerAt("a");
     std::map<EndpointId, int> counts;
     for (std::uint64_t number = 1; number <= 60; ++number) {
-        const auto placement = placer.choose(shortPrompt(), { registry, loads, kNoBlocks }, at(0ms));
+        const auto placement = placer.choose(shortPrompt(), { registry, loads, kNoAdvice, kNoBlocks }, at(0ms));
         REQUIRE(placement.endpoint);
         CHECK(registry.find(*placement.endpoint)->dataCenter != DataCenterId("c"));
         CHECK_FALSE(placement.blockSource);
@@ -169,9 +170,9 @@
     const EndpointLoads loads;
     auto placer = placerAt("a");
     auto request = shortPrompt();
-    CHECK(placer.choose(request, { registry, loads, kNoBlocks }, at(0ms)).endpoint == EndpointId("e103"));
+    CHECK(placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(0ms)).endpoint == EndpointId("e103"));
     request.tried.insert(EndpointId("e103"));
-    const auto placement = placer.choose(request, { registry, loads, kNoBlocks }, at(0ms));
+    const auto placement = placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(0ms));
     CHECK_FALSE(placement.endpoint);
     CHECK(placement.refusal == PlacementRefusal::NoEndpoint);
 }
@@ -183,12 +184,12 @@
     auto placer = placerAt("a");
     loads.sent(EndpointId("e100"), 1, 400'000, at(0ms));
     auto request = shortPrompt();
-    const auto placement = placer.choose(request, { registry, loads, kNoBlocks }, at(0ms));
+    const auto placement = placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(0ms));
     CHECK_FALSE(placement.endpoint);
     CHECK(placement.refusal == PlacementRefusal::AllBusy);
     CHECK(placement.expectedWait > 4s);
     request.timeLeft = 20s;
-    CHECK(placer.choose(request, { registry, loads, kNoBlocks }, at(0ms)).endpoint);
+    CHECK(placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(0ms)).endpoint);
 }
 
 TEST_CASE("failing and silent endpoints are chosen only if no other endpoint is available [placement]")
@@ -200,12 +201,12 @@
         loads.sent(EndpointId("e100"), number, 0, at(0ms));
         loads.finished(EndpointId("e100"), number, SendOutcome::Failed, at(0ms));
     }
-    CHECK(placer.choose(shortPrompt(), { registry, loads, kNoBlocks }, at(1ms)).endpoint == EndpointId("e101"));
+    CHECK(placer.choose(shortPrompt(), { registry, loads, kNoAdvice, kNoBlocks }, at(1ms)).endpoint == EndpointId("e101"));
     loads.sent(EndpointId("e101"), 9, 0, at(0ms));
-    CHECK(placer.choose(shortPrompt(), { registry, loads, kNoBlocks }, at(10s)).endpoint == EndpointId("e100"));
+    CHECK(placer.choose(shortPrompt(), { registry, loads, kNoAdvice, kNoBlocks }, at(10s)).endpoint == EndpointId("e100"));
     auto request = shortPrompt();
     request.tried.insert(EndpointId("e101"));
-    CHECK(placer.choose(request, { registry, loads, kNoBlocks }, at(1ms)).endpoint == EndpointId("e100"));
+    CHECK(placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(1ms)).endpoint == EndpointId("e100"));
 }
 
 TEST_CASE("engines with overdue weights are excluded once most engines have newer ones [placement]")
@@ -220,14 +221,14 @@
     most.put(engine(2, "c", 2));
     most.put(engine(3, "c", 2));
     request.tried = { EndpointId("e102"), EndpointId("e103") };
-    CHECK_FALSE(placer.choose(request, { most, loads, kNoBlocks }, at(0ms)).endpoint);
+    CHECK_FALSE(placer.choose(request, { most, loads, kNoAdvice, kNoBlocks }, at(0ms)).endpoint);
     EndpointRegistry few;
     few.put(engine(1, "a", 1));
     few.put(engine(2, "a", 1));
     few.put(engine(3, "c", 2));
     request.tried = { EndpointId("e103") };
     CHECK(few.entries().size() == 3);
-    CHECK(placer.choose(request, { few, loads, kNoBlocks }, at(0ms)).endpoint);
+    CHECK(placer.choose(request, { few, loads, kNoAdvice, kNoBlocks }, at(0ms)).endpoint);
 }
 
 TEST_CASE("while most engines have overdue weights, requests use the others as long as those are not much slower [placement]")
@@ -242,10 +243,10 @@
     auto request = shortPrompt();
     request.newestWeights = WeightsVersion(2);
     request.oldestWeights = WeightsVersion(2);
-    CHECK(placer.choose(request, { registry, loads, kNoBlocks }, at(0ms)).endpoint == EndpointId("e109"));
+    CHECK(placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(0ms)).endpoint == EndpointId("e109"));
     for (int i = 0; i < 20; ++i)
         loads.sent(EndpointId("e109"), static_cast<std::uint64_t>(i), 20'000, at(0ms));
-    const auto placement = placer.choose(request, { registry, loads, kNoBlocks }, at(10ms));
+    const auto placement = placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(10ms));
     REQUIRE(placement.endpoint);
     CHECK(placement.endpoint != EndpointId("e109"));
 }
@@ -262,7 +263,7 @@
     for (int i = 0; i < 20; ++i) {
         auto request = longPrompt("prefix " + std::to_string(i));
         for (const auto time : { at(0ms), at(1s) }) {
-            const auto placement = placer.choose(request, { registry, loads, blocks }, time);
+            const auto placement = placer.choose(request, { registry, loads, kNoAdvice, blocks }, time);
             REQUIRE(placement.endpoint);
             REQUIRE(placement.blocks);
             blocks.recordUse(*placement.endpoint, *placement.blocks, time);
@@ -358,7 +359,7 @@
         // A quarter of all requests use the same prompt.
         const auto prompt = std::to_string(random() % 4 == 0 ? 0 : static_cast<int>(random() % kPrompts));
         auto& daemon = daemons[number % daemons.size()];
-        auto placement = daemon.placer.choose(longPrompt(prompt), { registry, daemon.loads, daemon.blocks }, now);
+        auto placement = daemon.placer.choose(longPrompt(prompt), { registry, daemon.loads, kNoAdvice, daemon.blocks }, now);
         if (knowledge == Knowledge::None) {
             placement.endpoint = EndpointId("e" + std::to_string(100 + random() % kEngines));
             placement.blockSource.reset();
@@ -389,3 +390,40 @@
     CHECK(gossiped * 5 < random);
     CHECK(gossiped * 2 < localOnly);
 }
+
+TEST_CASE("an endpoint at its limit is passed over, and remains the home of its blocks [placement]")
+{
+    const auto registry = registryOf(2);
+    EndpointLoads loads;
+    EndpointAdvisories advisories { HostId("front-1") };
+    const auto placer = placerAt("a");
+    const auto request = longPrompt("p");
+    const auto home = placer.choose(request, { registry, loads, advisories, kNoBlocks }, at(0ms)).endpoint;
+    REQUIRE(home);
+    const auto* entry = registry.find(*home);
+    const EndpointInstance instance { *home, entry->incarnation, entry->service };
+    advisories.recordResponse(instance, { 1.0 }, at(0ms), at(1ms));
+    CHECK(placer.choose(request, { registry, loads, advisories, kNoBlocks }, at(10ms)).endpoint == home);
+    advisories.recordSend(instance, at(10ms));
+    const auto other = placer.choose(request, { registry, loads, advisories, kNoBlocks }, at(20ms));
+    REQUIRE(other.endpoint);
+    CHECK(other.endpoint != home);
+}
+
+TEST_CASE("a request finds out when endpoints that are all at their limits admit it, and how many per second [placement]")
+{
+    const auto registry = registryOf(2);
+    EndpointLoads loads;
+    EndpointAdvisories advisories { HostId("front-1") };
+    for (const auto& [id, entry] : registry.entries()) {
+        const EndpointInstance instance { id, entry.incarnation, entry.service };
+        advisories.recordResponse(instance, { id == EndpointId("e100") ? 1.0 : 4.0 }, at(0ms), at(1ms));
+        advisories.recordSend(instance, at(2ms));
+    }
+    const auto placement = placerAt("a").choose(shortPrompt(), { registry, loads, advisories, kNoBlocks }, at(2ms));
+    CHECK_FALSE(placement.endpoint);
+    CHECK(placement.refusal == PlacementRefusal::AtLimit);
+    CHECK(placement.admissionRate == doctest::Approx(5));
+    CHECK(placement.expectedWait > 200ms);
+    CHECK(placement.expectedWait <= 250ms);
+}
--- a/tests/gateway/shared_token_bucket.test.cpp
+++ b/tests/gateway/shared_token_bucket.test.cpp
@@ -22,7 +22,7 @@
 TEST_CASE("a deficit caused by other daemons is refilled before the next draw [rates]")
 {
     SharedTokenBucket bucket(100, 100, at(0ms));
-    bucket.chargeRemote(300, at(1s));
+    bucket.charge(300, at(1s));
     CHECK_FALSE(bucket.draw(1, at(2900ms)));
     CHECK(bucket.draw(1, at(3100ms)));
 }
--- a/tests/platform/engine_limits.test.cpp
+++ b/tests/platform/engine_limits.test.cpp
@@ -40,7 +40,8 @@
             engine.arrivals.push_back(MonotonicClock::now());
             HttpFields fields;
             fields.add("X-Hornbeamgate-Request-Id", *message.head.fields.find("X-Hornbeamgate-Request-Id"));
-            fields.add("X-Hornbeamgate-Server-Signature", "s");
+            if (engine.isSigned)
+                fields.add("X-Hornbeamgate-Server-Signature", "s");
             if (!engine.limit.empty())
                 fields.add("Server-Limit", engine.limit);
             connection.answer(200, std::move(fields), "ok");
@@ -70,6 +71,7 @@
         return static_cast<std::size_t>(std::count_if(arrivals.begin(), arrivals.end(), [start](auto arrival) { return arrival >= start; }));
     }
 
+    bool isSigned = true;
     std::string limit;
     std::vector<MonotonicTime> arrivals;
     std::unique_ptr<HttpAcceptor> acceptor;
@@ -177,8 +179,10 @@
                 ++pending;
                 const auto id = "r" + std::to_string(++lastRequest);
                 calls.start(gateway->callers->address(), "GET /read/x HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamgate-Request-Id: " + id + "\r\nX-Hornbeamgate-Deadline-Ms: 3000\r\n\r\n",
-                    CallLimits::until(MonotonicClock::now() + 10s), [&](const Result<HttpResponse, NetError>& answer) {
+                    CallLimits::until(MonotonicClock::now() + 10s), [&, sentAt = MonotonicClock::now()](const Result<HttpResponse, NetError>& answer) {
                         --pending;
+                        if (answer && answer->status == 503)
+                            slowestRefusal = std::max(slowestRefusal, MonotonicClock::now() - sentAt);
                         ++statuses[answer ? answer->status : 0];
                     });
             }
@@ -191,6 +195,7 @@
 
     std::vector<std::unique_ptr<Gateway>> gateways;
     std::map<int, int> statuses;
+    Duration slowestRefusal {};
     int lastRequest = 0;
     HttpConnectionPool pool;
     HttpCalls calls { pool };
@@ -225,3 +230,63 @@
     CHECK(fleet.statuses.size() == 1);
     CHECK(fleet.statuses[200] == fleet.lastRequest);
 }
+
+TEST_CASE("requests wait for an engine's limit, and one that would have to wait too long is refused at once [limits]")
+{
+    EngineStandIn limited;
+    limited.limit = "4";
+    Fleet fleet(1);
+    fleet.addEngine("e1", limited);
+    // Ten requests a second where four are admitted: the queue soon holds what can be served before the deadlines of 3 s.
+    fleet.ask(5s, 100ms);
+    CHECK(limited.mostInFourSeconds() <= allowedInFourSeconds(4));
+    CHECK(fleet.statuses.size() == 2);
+    CHECK(fleet.statuses[200] >= 16);
+    CHECK(fleet.statuses[503] >= 10);
+    CHECK(limited.arrivals.size() == static_cast<std::size_t>(fleet.statuses[200]));
+    CHECK(fleet.slowestRefusal < 2500ms);
+    CHECK(fleet.gateways[0]->state.metrics.value(Counter::RequestsAtLimit) > 0);
+}
+
+TEST_CASE("an engine that names no limit any more gets requests without a limit again [limits]")
+{
+    EngineStandIn limited;
+    EngineStandIn other;
+    limited.limit = "2";
+    Fleet fleet(2);
+    fleet.addEngine("e1", limited);
+    fleet.addEngine("e2", other);
+    fleet.ask(2s, 20ms);
+    limited.limit.clear();
+    fleet.ask(1500ms, 20ms);
+    const auto start = MonotonicClock::now();
+    fleet.ask(500ms, 20ms);
+    CHECK(limited.arrivalsSince(start) > 15);
+}
+
+TEST_CASE("an engine that has been restarted is not held to the limit of its earlier process [limits]")
+{
+    EngineStandIn limited;
+    limited.limit = "0";
+    Fleet fleet(1);
+    fleet.addEngine("e1", limited);
+    fleet.ask(300ms, 20ms);
+    limited.limit.clear();
+    EndpointEntry entry = *fleet.gateways[0]->state.registry.find(EndpointId("e1"));
+    entry.incarnation = Incarnation(entry.incarnation.value() + 1);
+    fleet.gateways[0]->state.registry.put(entry);
+    const auto start = MonotonicClock::now();
+    fleet.ask(300ms, 20ms);
+    CHECK(limited.arrivalsSince(start) >= 15);
+}
+
+TEST_CASE("a response that is not an engine's says nothing about its limit [limits]")
+{
+    EngineStandIn engine;
+    engine.isSigned = false;
+    engine.limit = "0";
+    Fleet fleet(1);
+    fleet.addEngine("e1", engine);
+    fleet.ask(100ms, 20ms);
+    CHECK_FALSE(fleet.gateways[0]->state.advisories.limitOf({ EndpointId("e1"), Incarnation(), ServiceId("s") }));
+}
--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -634,14 +634,14 @@
     GatewayFixture fixture;
     fixture.state.loads.sent(EndpointId("e1"), 100, 40'000, MonotonicClock::now());
     fixture.request("/stream/a", kLongPrompt);
-    REQUIRE(runUntil([&] { return fixture.state.waiting.size() == 1; }));
+    REQUIRE(runUntil([&] { return fixture.state.queueOf(ServiceId("s")).size() == 1; }));
     CHECK(fixture.state.sendCount == 0);
     const auto waiting = std::move(fixture.caller);
     fixture.request("/booking/a");
     fixture.first.waitFor(0, "/booking/a");
     fixture.state.loads.answerBegan(EndpointId("e1"), 100);
     fixture.first.waitFor(1, "/stream/a");
-    CHECK(fixture.state.waiting.size() == 0);
+    CHECK(fixture.state.queueOf(ServiceId("s")).size() == 0);
 }
 
 TEST_CASE("a queued prompt leaves the queue unexecuted on its deadline, on shutdown and when its caller disconnects [request]")
@@ -655,15 +655,15 @@
     GatewayFixture ending;
     ending.state.loads.sent(EndpointId("e1"), 100, 40'000, MonotonicClock::now());
     ending.request("/stream/a", kLongPrompt);
-    REQUIRE(runUntil([&] { return ending.state.waiting.size() == 1; }));
-    ending.state.waiting.refuseAll();
+    REQUIRE(runUntil([&] { return ending.state.queueOf(ServiceId("s")).size() == 1; }));
+    ending.state.queueOf(ServiceId("s")).refuseAll();
     ending.waitFor("HTTP/1.1 503");
     GatewayFixture left;
     left.state.loads.sent(EndpointId("e1"), 100, 40'000, MonotonicClock::now());
     left.request("/stream/a", kLongPrompt);
-    REQUIRE(runUntil([&] { return left.state.waiting.size() == 1; }));
+    REQUIRE(runUntil([&] { return left.state.queueOf(ServiceId("s")).size() == 1; }));
     left.caller.reset();
-    REQUIRE(runUntil([&] { return left.state.waiting.size() == 0; }));
+    REQUIRE(runUntil([&] { return left.state.queueOf(ServiceId("s")).size() == 0; }));
     CHECK(left.state.sendCount == 0);
 }
 
@@ -677,14 +677,14 @@
     fixture.first.waitFor(0, "hi");
     fixture.state.loads.sent(EndpointId("e2"), 100, 40'000, MonotonicClock::now());
     fixture.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1) + event(3)));
-    REQUIRE(runUntil([&] { return fixture.state.waiting.size() == 1; }));
+    REQUIRE(runUntil([&] { return fixture.state.queueOf(ServiceId("s")).size() == 1; }));
     fixture.first.send(0, chunkText(event(9)));
     runFor(100ms);
-    CHECK(fixture.state.waiting.size() == 1);
+    CHECK(fixture.state.queueOf(ServiceId("s")).size() == 1);
     CHECK(fixture.first.hasEnded(0));
     fixture.caller.reset();
     runFor(100ms);
-    CHECK(fixture.state.waiting.size() == 0);
+    CHECK(fixture.state.queueOf(ServiceId("s")).size() == 0);
     fixture.request("/booking/a");
     fixture.state.loads.answerBegan(EndpointId("e2"), 100);
     runFor(300ms);
@@ -704,7 +704,7 @@
     fixture.state.loads.sent(EndpointId("e2"), 100, 40'000, MonotonicClock::now());
     fixture.state.loads.sent(EndpointId("e3"), 101, 40'000, MonotonicClock::now());
     fixture.first.send(0, "no response of this protocol\r\n\r\n");
-    REQUIRE(runUntil([&] { return fixture.state.waiting.size() > 0; }));
+    REQUIRE(runUntil([&] { return fixture.state.queueOf(ServiceId("s")).size() > 0; }));
     fixture.first.drop(0);
     runFor(100ms);
     fixture.state.loads.answerBegan(EndpointId("e2"), 100);
@@ -759,7 +759,7 @@
     fixture.state.loads.sent(EndpointId("e2"), 100, 40'000, MonotonicClock::now());
     fixture.first.drop(0);
     fixture.second.waitFor(0, "Last-Event-Id: 1");
-    CHECK(fixture.state.waiting.size() == 0);
+    CHECK(fixture.state.queueOf(ServiceId("s")).size() == 0);
 }
 
 TEST_CASE("a request without a timely response ends at the route's timeout and closes the engine connection [request]")
