Derive the reads of the configuration log from the bound of a change

In the product's own daemons a read of the configuration log waited 1.5 s, was given up 2 s after that, and the next one began 0.5 to 2 s later, while a change has to be in force within 4 s: a single lost read made it late wherever peers had read nothing newer either.

The timeout and the delays are shares of the bound now, a new option of ConfigReplica; a read wait that leaves no time for them is refused. The timeout is an argument of each read; other reads keep 2 s.

After: it passes; the fuzz tests of the configuration and the end-to-end tests pass.

--- a/src/hornbeamgate/config/config_events.hpp
+++ b/src/hornbeamgate/config/config_events.hpp
@@ -60,7 +60,8 @@
 /// Action: read the configuration stream starting at `from`. The log may delay an empty response for up to `wait`.
 struct ReadConfigLog {
     LogOffset from;
-    Duration wait;
+    Duration wait; ///< how long the log may hold the call for a record
+    Duration timeout; ///< until the read is given up, beyond the wait
 };
 
 /// Action: send `message` as a request to `to` on /control/config.
--- a/src/hornbeamgate/config/config_publisher.cpp
+++ b/src/hornbeamgate/config/config_publisher.cpp
@@ -14,6 +14,7 @@
     constexpr Duration kReadRetry = 500ms;
     constexpr Duration kAppendRetry = 500ms;
     constexpr Duration kReadWait = 500ms;
+    constexpr Duration kReadTimeout = 2s;
 
 } // namespace
 
@@ -47,7 +48,7 @@
     }
     if (m_readDue && *m_readDue <= now) {
         m_readDue.reset();
-        m_actions.emplace_back(ReadConfigLog { m_stateMachine.nextRead(), m_proposal ? kReadWait : Duration::zero() });
+        m_actions.emplace_back(ReadConfigLog { m_stateMachine.nextRead(), m_proposal ? kReadWait : Duration::zero(), kReadTimeout });
     }
     if (m_appendDue && *m_appendDue <= now)
         append();
--- a/src/hornbeamgate/config/config_replica.cpp
+++ b/src/hornbeamgate/config/config_replica.cpp
@@ -12,8 +12,13 @@
 
     /// Minimum time between the starts of two reads that return no records.
     constexpr Duration kMinReadInterval = 100ms;
-    constexpr Duration kMinReadRetry = 500ms;
-    constexpr Duration kMaxReadRetry = 2s;
+    // Shares of the bound of a change, in eighths: a lost read with its wait, and the longest delay before the next read, after
+    // the first and after further failures. The rest is left for the answer and for the daemon itself.
+    constexpr int kShares = 8;
+    constexpr int kReadWaitShares = 3;
+    constexpr int kReadTimeoutShares = 2;
+    constexpr int kFirstRetryShares = 1;
+    constexpr int kRetryShares = 2;
     /// Delay of the first read after startup, so that peers can respond before the whole stream is read.
     constexpr Duration kInitialReadDelay = 250ms;
     constexpr Duration kResponseTimeout = 2s;
@@ -36,6 +41,8 @@
     // A confirmation can reach the age of two full read waits before the next one replaces it.
     if (options.readWait * 2 >= options.confirmedFor)
         return failure(ConfigOptionsError { "confirmations must be valid for longer than two read waits" });
+    if (options.readWait > options.bound * kReadWaitShares / kShares)
+        return failure(ConfigOptionsError { "the read wait must leave time to read again within the bound" });
     if (!(options.exchangeBytesPerSecond > 0) || !(options.exchangeBurstBytes > 0))
         return failure(ConfigOptionsError { "the exchange rate limit must be greater than zero" });
     return ConfigReplica(std::move(options), random);
@@ -81,7 +88,7 @@
 void ConfigReplica::startRead()
 {
     m_readDue.reset();
-    m_actions.emplace_back(ReadConfigLog { m_stateMachine.nextRead(), m_mayWait ? m_options.readWait : Duration::zero() });
+    m_actions.emplace_back(ReadConfigLog { m_stateMachine.nextRead(), m_mayWait ? m_options.readWait : Duration::zero(), m_options.bound * kReadTimeoutShares / kShares - kMinReadInterval });
 }
 
 void ConfigReplica::on(const ConfigLogRead& event, MonotonicTime now)
@@ -103,9 +110,11 @@
 {
     if (std::holds_alternative<LogUnreachable>(event.result)) {
         m_mayWait = false;
-        m_readDue = now + randomDuration(kMinReadRetry, kMaxReadRetry);
+        const auto longest = m_options.bound * (m_lostReads++ == 0 ? kFirstRetryShares : kRetryShares) / kShares;
+        m_readDue = now + randomDuration(longest / 2, longest);
         return;
     }
+    m_lostReads = 0;
     const auto* read = std::get_if<LogRecordsRead>(&event.result);
     m_mayWait = read != nullptr;
     const bool hasMore = !read || (!read->records.empty() && !progress.isCaughtUp);
--- a/src/hornbeamgate/config/config_replica.hpp
+++ b/src/hornbeamgate/config/config_replica.hpp
@@ -14,6 +14,7 @@
 struct ConfigReplicaOptions {
     DataCenterId dataCenter;
     Duration retention = std::chrono::hours(24); ///< minimum time for which the log keeps a record
+    Duration bound = std::chrono::seconds(4); ///< maximum time from the acceptance of a change until it is in force
     Duration readWait = std::chrono::milliseconds(1500); ///< maximum time for which the log may delay an empty response
     Duration exchangePeriod = std::chrono::seconds(2); ///< between rounds of requests while confirmed; halved otherwise
     Duration confirmedFor = std::chrono::milliseconds(3500); ///< maximum age at which a confirmation is still valid
@@ -105,6 +106,7 @@
     MonotonicTime m_roundDue = MonotonicTime {};
     bool m_isStarted = false;
     bool m_mayWait = false; ///< whether the log may delay the response to the next read
+    int m_lostReads = 0; ///< in a row
     std::vector<ConfigAction> m_actions;
 };
 
--- a/src/hornbeamgate/runtime/agent/booking_task.cpp
+++ b/src/hornbeamgate/runtime/agent/booking_task.cpp
@@ -53,7 +53,7 @@
 
 void BookingTask::perform(const ReadLog& action)
 {
-    m_log->read(action.stream, action.from, kReadWait, [this, alive = m_liveness.watch()](const LogReadEvent& result) {
+    m_log->read(action.stream, action.from, kReadWait, PlatformLogClient::kUsualTimeout, [this, alive = m_liveness.watch()](const LogReadEvent& result) {
         if (!alive.expired())
             feed(result);
     });
--- a/src/hornbeamgate/runtime/entry/budget_task.cpp
+++ b/src/hornbeamgate/runtime/entry/budget_task.cpp
@@ -167,7 +167,7 @@
 
 void BudgetTask::readClaims()
 {
-    m_log->read(std::string(kClaimStream), m_lender.position(), kReadWait, [this, alive = m_liveness.watch()](const LogReadEvent& result) {
+    m_log->read(std::string(kClaimStream), m_lender.position(), kReadWait, PlatformLogClient::kUsualTimeout, [this, alive = m_liveness.watch()](const LogReadEvent& result) {
         if (!alive.expired())
             handleClaims(result);
     });
--- a/src/hornbeamgate/runtime/entry/config_task.cpp
+++ b/src/hornbeamgate/runtime/entry/config_task.cpp
@@ -66,7 +66,7 @@
 void ConfigTask::perform(const ReadConfigLog& action)
 {
     const auto startedAt = MonotonicClock::now();
-    m_log->read(std::string(kConfigStream), action.from, action.wait, [this, startedAt, alive = m_liveness.watch()](LogReadEvent result) {
+    m_log->read(std::string(kConfigStream), action.from, action.wait, action.timeout, [this, startedAt, alive = m_liveness.watch()](LogReadEvent result) {
         if (alive.expired())
             return;
         feed(ConfigLogRead { std::move(result), startedAt });
--- a/src/hornbeamgate/runtime/platform_log_client.cpp
+++ b/src/hornbeamgate/runtime/platform_log_client.cpp
@@ -17,7 +17,6 @@
     constexpr std::uint16_t kTooManyRequests = 429;
     constexpr std::uint16_t kUnavailable = 503;
     constexpr std::size_t kMaxRecordsPerRead = 1000;
-    constexpr std::chrono::milliseconds kReadTimeout { 2000 };
     constexpr std::chrono::milliseconds kAppendTimeout { 2000 };
 
     std::optional<Bytes> fromBase64(const std::string& text)
@@ -109,14 +108,14 @@
 {
 }
 
-void PlatformLogClient::read(const std::string& stream, LogOffset from, Duration wait, ReadDone done)
+void PlatformLogClient::read(const std::string& stream, LogOffset from, Duration wait, Duration timeout, ReadDone done)
 {
     const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
     HttpRequest request;
     request.address = m_address;
     request.target = streamTarget(stream) + "?from=" + std::to_string(from.value()) + "&max=" + std::to_string(kMaxRecordsPerRead)
         + "&wait_ms=" + std::to_string(waitMs);
-    m_requester.send(request, MonotonicClock::now() + wait + kReadTimeout,
+    m_requester.send(request, MonotonicClock::now() + wait + timeout,
         [done = std::move(done)](const Result<HttpResponse, HttpError>& answer) { done(parseLogRead(answer)); });
 }
 
--- a/src/hornbeamgate/runtime/platform_log_client.hpp
+++ b/src/hornbeamgate/runtime/platform_log_client.hpp
@@ -16,8 +16,12 @@
 
     explicit PlatformLogClient(SocketAddress address);
 
-    /// Reads records of `stream` from `from` on. The log may hold an empty answer back for `wait`.
-    void read(const std::string& stream, LogOffset from, Duration wait, ReadDone done);
+    /// Time for which an answer is awaited where no bound depends on it.
+    static constexpr std::chrono::milliseconds kUsualTimeout { 2000 };
+
+    /// Reads records of `stream` from `from` on. The log may hold an empty answer back for `wait`; the read is given up
+    /// `timeout` after that.
+    void read(const std::string& stream, LogOffset from, Duration wait, Duration timeout, ReadDone done);
 
     /// Appends the record and tells for certain, or as unknown, whether it is in the log.
     void append(const AppendRecord& record, AppendDone done);
--- a/src/programs/hornbeamctl_log.cpp
+++ b/src/programs/hornbeamctl_log.cpp
@@ -38,7 +38,7 @@
         void perform(const ConfigAction& action)
         {
             if (const auto* read = std::get_if<ReadConfigLog>(&action)) {
-                m_client.read(std::string(kConfigStream), read->from, read->wait,
+                m_client.read(std::string(kConfigStream), read->from, read->wait, read->timeout,
                     [this, began = MonotonicClock::now()](LogReadEvent result) { handle(ConfigLogRead { std::move(result), began }); });
             } else if (const auto* record = std::get_if<AppendRecord>(&action)) {
                 m_client.append(*record, [this](const AppendEvent& event) {
@@ -55,7 +55,7 @@
     LogReadEvent readOnce(PlatformLogClient& client, LogOffset from)
     {
         std::optional<LogReadEvent> result;
-        client.read(std::string(kConfigStream), from, Duration::zero(), [&](LogReadEvent event) { result = std::move(event); });
+        client.read(std::string(kConfigStream), from, Duration::zero(), PlatformLogClient::kUsualTimeout, [&](LogReadEvent event) { result = std::move(event); });
         while (!result)
             g_main_context_iteration(nullptr, TRUE);
         return std::move(*result);
--- a/tests/config/config_state_machine.test.cpp
+++ b/tests/config/config_state_machine.test.cpp
@@ -200,6 +200,42 @@
     CHECK(bytes <= 5000 + 100 * 600);
 }
 
+TEST_CASE("after a lost read the configuration log is read again within the bound of a change [config]")
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        ConfigReplicaOptions options;
+        options.dataCenter = DataCenterId("dc");
+        auto replica = ConfigReplica::create(options, std::mt19937_64(seed)).value();
+        const PublishedLog published(3);
+        MonotonicTime now { std::chrono::hours(1) };
+        const auto findRead = [](const std::vector<ConfigAction>& actions) {
+            for (const auto& action : actions) {
+                if (const auto* found = std::get_if<ReadConfigLog>(&action))
+                    return std::optional(*found);
+            }
+            return std::optional<ReadConfigLog>();
+        };
+        const auto nextRead = [&] {
+            auto read = findRead(replica.handle(ConfigTimerExpired {}, now));
+            while (!read) {
+                now = replica.nextDeadline();
+                read = findRead(replica.handle(ConfigTimerExpired {}, now));
+            }
+            return *read;
+        };
+        nextRead();
+        replica.handle(ConfigLogRead { published.log.read(LogOffset(0), 100), now }, now);
+        const auto started = now;
+        const auto lost = nextRead();
+        CHECK(lost.wait > Duration::zero());
+        now += lost.wait + lost.timeout;
+        replica.handle(ConfigLogRead { LogUnreachable {}, started }, now);
+        nextRead();
+        // An eighth of the bound is left for the answer, and another one for the daemon.
+        CHECK(now - started <= options.bound * 6 / 8);
+    }
+}
+
 TEST_CASE("invalid replica options are rejected [config]")
 {
     const auto isRefused = [](auto change) {
@@ -212,6 +248,7 @@
     CHECK(isRefused([](auto& options) { options.dataCenter = {}; }));
     CHECK(isRefused([](auto& options) { options.retention = {}; }));
     CHECK(isRefused([](auto& options) { options.readWait = options.confirmedFor; }));
+    CHECK(isRefused([](auto& options) { options.readWait = options.bound / 2; }));
     CHECK(isRefused([](auto& options) { options.exchangePeriod = {}; }));
     CHECK(isRefused([](auto& options) { options.exchangeBytesPerSecond = 0; }));
 }
--- a/tests/config/platform_log_client.test.cpp
+++ b/tests/config/platform_log_client.test.cpp
@@ -45,7 +45,7 @@
 {
     PlatformLogClient client(address);
     std::optional<LogReadEvent> result;
-    client.read("config", LogOffset(7), Duration::zero(), [&](LogReadEvent event) { result = std::move(event); });
+    client.read("config", LogOffset(7), Duration::zero(), PlatformLogClient::kUsualTimeout, [&](LogReadEvent event) { result = std::move(event); });
     REQUIRE(runUntil([&] { return result.has_value(); }));
     return *result;
 }
--- a/tests/end_to_end/rules_publisher.cpp
+++ b/tests/end_to_end/rules_publisher.cpp
@@ -36,7 +36,7 @@
 
         void perform(const ReadConfigLog& action)
         {
-            m_log.read(std::string(kConfigStream), action.from, action.wait, [this, began = MonotonicClock::now()](LogReadEvent result) {
+            m_log.read(std::string(kConfigStream), action.from, action.wait, action.timeout, [this, began = MonotonicClock::now()](LogReadEvent result) {
                 feed(ConfigLogRead { std::move(result), began });
             });
         }
--- a/tests/runtime/platform_log_client.test.cpp
+++ b/tests/runtime/platform_log_client.test.cpp
@@ -22,7 +22,7 @@
 {
     PlatformLogClient client(address);
     std::optional<LogReadEvent> event;
-    client.read("bookings", LogOffset(from), wait, [&](LogReadEvent outcome) { event = std::move(outcome); });
+    client.read("bookings", LogOffset(from), wait, PlatformLogClient::kUsualTimeout, [&](LogReadEvent outcome) { event = std::move(outcome); });
     REQUIRE(runUntil([&] { return event.has_value(); }));
     return *event;
 }
@@ -104,7 +104,7 @@
     const Platform platform;
     PlatformLogClient reader(platform.address());
     std::optional<LogReadEvent> event;
-    reader.read("bookings", LogOffset(0), std::chrono::seconds(10), [&](LogReadEvent outcome) { event = std::move(outcome); });
+    reader.read("bookings", LogOffset(0), std::chrono::seconds(10), PlatformLogClient::kUsualTimeout, [&](LogReadEvent outcome) { event = std::move(outcome); });
     append(platform.address(), { 9 });
     REQUIRE(runUntil([&] { return event.has_value(); }));
     CHECK(std::get<LogRecordsRead>(*event).records.front().data == Bytes { 9 });
