Keep what gateways know of deadly prompts in the platform's store

Cause: lost runs and quarantines were in the gateways' memory only, so crashes before the kill did not count, and a quarantine was forgotten.

QuarantineTask saves all that a gateway knows under its name when a run of its own was lost, ten times a second at most, and reads what all gateways knew when it starts. Reports in the store grow older by the time since they were written; old and unreadable ones are removed. The codec of the reports has moved to a file of its own, which both use.

--- a/src/hornbeamgate/gateway/peer_report.cpp
+++ b/src/hornbeamgate/gateway/peer_report.cpp
@@ -1,5 +1,7 @@
 #include "hornbeamgate/gateway/peer_report.hpp"
 
+#include "hornbeamgate/gateway/quarantine_codec.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -12,46 +14,14 @@
 
     using std::chrono::milliseconds;
 
-    json encodeQuarantine(const QuarantineReport& report)
-    {
-        json losses = json::array();
-        for (const auto& loss : report.losses)
-            losses.push_back(json::array({ loss.run, loss.engine, loss.parts, loss.hasHead, loss.sentAge.count(), loss.lostAge.count() }));
-        json answered = json::array();
-        for (const auto& part : report.answered)
-            answered.push_back(json::array({ part.part, part.age.count() }));
-        json survivors = json::array();
-        for (const auto& engine : report.survivors)
-            survivors.push_back(json::array({ engine.engine, engine.sentAge.count(), engine.answeredAge.count() }));
-        json quarantined = json::array();
-        for (const auto& part : report.quarantined)
-            quarantined.push_back(json::array({ part.parts, part.remaining.count(), part.lostAge.count(), part.renewals }));
-        return json::array({ std::move(losses), std::move(answered), std::move(survivors), std::move(quarantined) });
-    }
-
-    /// Ages and remaining times of a quarantine lie below this.
-    constexpr std::chrono::hours kMaxQuarantineTime { 1 };
-    constexpr int kMaxRenewals = 16;
+    /// Ages lie below this.
+    constexpr std::chrono::hours kMaxAge { 1 };
     /// Demand that a daemon can report for a service, in requests.
     constexpr std::int64_t kMaxDemand = 1'000'000;
 
-    milliseconds duration(const json& value)
+    milliseconds age(const json& value)
     {
-        return std::clamp(milliseconds(value.get<std::int64_t>()), milliseconds(0), milliseconds(kMaxQuarantineTime));
-    }
-
-    QuarantineReport decodeQuarantine(const json& value)
-    {
-        QuarantineReport report;
-        for (const auto& item : value.at(0))
-            report.losses.push_back({ item.at(0).get<RunKey>(), item.at(1).get<EngineKey>(), item.at(2).get<std::vector<PartKey>>(), item.at(3).get<bool>(), duration(item.at(4)), duration(item.at(5)) });
-        for (const auto& item : value.at(1))
-            report.answered.push_back({ item.at(0).get<PartKey>(), duration(item.at(1)) });
-        for (const auto& item : value.at(2))
-            report.survivors.push_back({ item.at(0).get<EngineKey>(), duration(item.at(1)), duration(item.at(2)) });
-        for (const auto& item : value.at(3))
-            report.quarantined.push_back({ item.at(0).get<std::set<PartKey>>(), duration(item.at(1)), duration(item.at(2)), std::clamp(item.at(3).get<int>(), 0, kMaxRenewals) });
-        return report;
+        return std::clamp(milliseconds(value.get<std::int64_t>()), milliseconds(0), milliseconds(kMaxAge));
     }
 
     /// Stands for "no limit" in a report.
@@ -73,7 +43,7 @@
         AdvisoryReport report;
         for (const auto& item : value.at(0)) {
             const auto rate = item.at(2).get<double>();
-            report.limits.push_back({ EndpointId(item.at(0).get<std::string>()), Incarnation(item.at(1).get<std::uint64_t>()), rate >= 0 ? std::optional(rate) : std::nullopt, duration(item.at(3)) });
+            report.limits.push_back({ EndpointId(item.at(0).get<std::string>()), Incarnation(item.at(1).get<std::uint64_t>()), rate >= 0 ? std::optional(rate) : std::nullopt, age(item.at(3)) });
         }
         for (const auto& item : value.at(1))
             report.demand[ServiceId(item.at(0).get<std::string>())] = std::clamp<std::int64_t>(item.at(1).get<std::int64_t>(), 0, kMaxDemand);
--- a/src/hornbeamgate/gateway/prompt_quarantine.cpp
+++ b/src/hornbeamgate/gateway/prompt_quarantine.cpp
@@ -129,6 +129,7 @@
         run.parts.erase(run.parts.begin(), run.parts.end() - kMaxParts);
     const auto now = run.lostAt;
     dropExpired(now);
+    ++m_revision;
     m_localLosses.push_back(run);
     if (m_localLosses.size() > kMaxReportedLosses) {
         // Runs that had begun say more than the others.
@@ -144,6 +145,8 @@
     Changes changes;
     for (const auto part : parts)
         addAnswer(part, now, true, changes);
+    if (!changes.empty())
+        ++m_revision;
     return changes;
 }
 
@@ -177,6 +180,24 @@
     return report;
 }
 
+QuarantineReport PromptQuarantine::snapshot(MonotonicTime now) const
+{
+    QuarantineReport snapshot;
+    for (const bool hasHead : { true, false }) {
+        for (const auto& [engine, runs] : m_losses) {
+            for (const auto& [key, run] : runs) {
+                if (run.hasHead == hasHead && snapshot.losses.size() < kMaxReportedLosses)
+                    snapshot.losses.push_back({ key, engine, run.parts, run.hasHead, ageOf(run.sentAt, now), ageOf(run.lostAt, now) });
+            }
+        }
+    }
+    for (const auto& quarantine : m_quarantines) {
+        if (snapshot.quarantined.size() < kMaxReportedItems)
+            snapshot.quarantined.push_back({ quarantine.parts, std::max(milliseconds(0), ageOf(now, quarantine.until)), ageOf(quarantine.lostAt, now), quarantine.renewals });
+    }
+    return snapshot;
+}
+
 PromptQuarantine::Changes PromptQuarantine::recordPeerReport(const QuarantineReport& report, MonotonicTime now)
 {
     Changes changes;
--- a/src/hornbeamgate/gateway/prompt_quarantine.hpp
+++ b/src/hornbeamgate/gateway/prompt_quarantine.hpp
@@ -101,6 +101,10 @@
 
     /// Returns this daemon's own observations since `since`, and all quarantined parts.
     QuarantineReport report(MonotonicTime since, MonotonicTime now) const;
+    /// Returns all observations that count, of all daemons, for daemons that start later.
+    QuarantineReport snapshot(MonotonicTime now) const;
+    /// Number that changes with the observations of this daemon that a later one needs.
+    std::uint64_t revision() const { return m_revision; }
     Changes recordPeerReport(const QuarantineReport& report, MonotonicTime now);
 
 private:
@@ -160,6 +164,7 @@
     std::map<EngineKey, Survival> m_survivals; ///< of engines with losses
     std::map<EngineKey, MonotonicTime> m_attributedUntil; ///< engines whose crash is due to quarantined parts
     std::deque<LostRun> m_localLosses;
+    std::uint64_t m_revision = 0;
     MonotonicTime m_nextCleanup {};
 };
 
--- a/src/hornbeamgate/observability/log.cpp
+++ b/src/hornbeamgate/observability/log.cpp
@@ -63,6 +63,7 @@
         EventEntry { LogEvent::WeightsNamed, "weights_named", LogLevel::Info },
         EventEntry { LogEvent::WeightsOrdered, "weights_ordered", LogLevel::Info },
         EventEntry { LogEvent::OrderJournalFailed, "order_journal_failed", LogLevel::Warning },
+        EventEntry { LogEvent::ObservationsFailed, "observations_failed", LogLevel::Warning },
         EventEntry { LogEvent::DutyChanged, "duty_changed", LogLevel::Info },
         EventEntry { LogEvent::LinesDropped, "lines_dropped", LogLevel::Warning },
     };
--- a/src/hornbeamgate/observability/log.hpp
+++ b/src/hornbeamgate/observability/log.hpp
@@ -50,6 +50,7 @@
     WeightsNamed,
     WeightsOrdered,
     OrderJournalFailed,
+    ObservationsFailed,
     DutyChanged,
     LinesDropped,
     EventCount,
--- a/src/hornbeamgate/runtime/gateway/directory.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hornbeamgate/base/bytes.hpp"
 #include "hornbeamgate/base/result.hpp"
 #include "hornbeamgate/gateway/directory_replica.hpp"
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
@@ -47,6 +48,12 @@
     LogOffset next; ///< offset at which to continue watching
 };
 
+/// What a daemon observed, as it is kept for daemons that start later.
+struct StoredObservations {
+    HostId host;
+    Bytes observations;
+};
+
 /// Client of the store that holds state which must outlive the daemons. Each call invokes its callback once,
 /// after the call has returned, unless the client is destroyed first.
 class Directory {
@@ -72,6 +79,10 @@
     /// Appends an order record if the records end at `at`, and returns their new end. After an error the record may have
     /// been appended, or may be appended later.
     virtual void appendOrderRecord(const OrderRecord& record, LogOffset at, Callback<LogOffset> callback) = 0;
+    /// Reads the observations of all hosts.
+    virtual void readObservations(Callback<std::vector<StoredObservations>> callback) = 0;
+    /// Replaces the observations of `host`; empty ones remove them.
+    virtual void saveObservations(const HostId& host, const Bytes& observations, Callback<LogOffset> callback) = 0;
     /// Decodes the value of a record. The value must be present.
     virtual Result<DirectoryItem, RecordError> decode(DirectoryTopic topic, const DirectoryRecord& record) const = 0;
 };
--- a/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
@@ -41,6 +41,7 @@
     , m_state(m_settings, *m_adapters.wire)
     , m_self { settings.common.host, newIncarnation(), settings.common.link }
     , m_directory(m_state, *m_adapters.directory, m_self)
+    , m_quarantine(m_state, *m_adapters.directory, m_self.host)
     , m_drainTimer([this] { closeWhenDrained(); })
     , m_settingsTimer([this] { watchSettings(); })
 {
@@ -85,6 +86,7 @@
 void GatewayDaemon::run()
 {
     m_directory.start();
+    m_quarantine.start();
     m_peers->start();
     m_weights->start();
     watchSettings();
--- a/tests/platform/directory.test.cpp
+++ b/tests/platform/directory.test.cpp
@@ -158,3 +158,21 @@
     CHECK_FALSE(lost->isLeader);
     CHECK(store.bodies[1].find("\"generation\":7") != std::string::npos);
 }
+
+TEST_CASE("observations are kept under the name of their host, and empty ones are not returned [platform]")
+{
+    ScriptedStore store;
+    store.answers = { { 200, {}, R"({"offset":3,"end-offset":4})" }, { 200, {}, R"({"offset":4,"end-offset":5})" },
+        { 200, {}, R"({"items":[{"key":"front-1","value":"AQI=","offset":3},{"key":"front-2","value":"","offset":4}],"has-more":false,"end-offset":5})" } };
+    platform::PlatformDirectory directory(store.acceptor->address());
+    CHECK(result<LogOffset>([&](auto callback) { directory.saveObservations(HostId("front-1"), { 1, 2 }, callback); }) == LogOffset(3));
+    CHECK(result<LogOffset>([&](auto callback) { directory.saveObservations(HostId("front-2"), {}, callback); }) == LogOffset(4));
+    const auto stored = result<std::vector<StoredObservations>>([&](auto callback) { directory.readObservations(callback); });
+    REQUIRE(stored);
+    REQUIRE(stored->size() == 1);
+    CHECK(stored->front().host == HostId("front-1"));
+    CHECK(stored->front().observations == Bytes { 1, 2 });
+    CHECK(store.requestLines[0] == "POST /hornbeamgate/log-append?topic=keyed.observations&part=0");
+    CHECK(store.bodies[1] == keyedRecord("front-2", ""));
+    CHECK(store.requestLines[2] == "GET /hornbeamgate/log-newest?topic=keyed.observations&part=0");
+}
--- a/tests/platform/fake_directory.hpp
+++ b/tests/platform/fake_directory.hpp
@@ -39,6 +39,12 @@
         appendedAt.push_back(at);
         orderRecordAppends.push_back(std::move(callback));
     }
+    void readObservations(Callback<std::vector<StoredObservations>> callback) override { observationReads.push_back(std::move(callback)); }
+    void saveObservations(const HostId& host, const Bytes& observations, Callback<LogOffset> callback) override
+    {
+        savedObservations.push_back({ host, observations });
+        observationSaves.push_back(std::move(callback));
+    }
     Result<DirectoryItem, RecordError> decode(DirectoryTopic topic, const DirectoryRecord& record) const override { return platform::decodeRecord(topic, record); }
 
     static std::size_t index(DirectoryTopic topic) { return static_cast<std::size_t>(topic); }
@@ -63,6 +69,9 @@
     std::vector<Callback<LogOffset>> orderRecordAppends;
     std::vector<OrderRecord> appendedOrderRecords;
     std::vector<LogOffset> appendedAt;
+    std::vector<Callback<std::vector<StoredObservations>>> observationReads;
+    std::vector<StoredObservations> savedObservations;
+    std::vector<Callback<LogOffset>> observationSaves;
     std::chrono::milliseconds membershipLifetime {};
     int leaveCount = 0;
 };
