Send nothing more to an engine that says that it leaves

A leaving engine says Server-Leaving: 1 in its answers; it was not decoded, so a gateway that is cut off from the store and has not heard of the departure from others went on sending. No caller has reported it.

EndpointAdvisories keeps the statement by incarnation; placement, and with it waiting, repeated and resumed requests, and the weights orders pass over such engines. Gateways tell each other for 5 s. The statement outlives the engine's removal, so that a record of the store does not bring the same incarnation back.

--- a/src/hornbeamgate/gateway/endpoint_advisories.cpp
+++ b/src/hornbeamgate/gateway/endpoint_advisories.cpp
@@ -25,6 +25,10 @@
     constexpr double kDaemonsPerRate = 0.75;
     /// An endpoint that takes nothing is asked this often whether it still does, in requests per second.
     constexpr double kMinRate = 0.25;
+    /// How long an endpoint that leaves is reported; daemons that start meanwhile are told too.
+    constexpr std::chrono::seconds kLeavingReportTime { 5 };
+    /// How long an endpoint that left is remembered; far longer than it takes to leave.
+    constexpr std::chrono::minutes kLeavingRetention { 10 };
     /// Time that a report of another daemon may take; its age does not include it.
     constexpr milliseconds kMaxReportTransit { 500 };
 
@@ -151,12 +155,52 @@
     state.share.setLimits(std::max(*state.limit, kMinRate) * part, kUnusedShare, now);
 }
 
+bool EndpointAdvisories::recordLeaving(const EndpointInstance& endpoint, MonotonicTime now)
+{
+    const bool isChange = recordPeerLeaving(endpoint, now);
+    if (auto* state = find(endpoint))
+        state->isLeavingRead = true;
+    return isChange;
+}
+
+bool EndpointAdvisories::recordPeerLeaving(const EndpointInstance& endpoint, MonotonicTime now)
+{
+    auto* state = obtain(endpoint);
+    if (!state || state->leavingSince)
+        return false;
+    state->leavingSince = now;
+    return true;
+}
+
+bool EndpointAdvisories::isLeaving(const EndpointInstance& endpoint) const
+{
+    const auto* state = find(endpoint);
+    return state && state->leavingSince;
+}
+
+void EndpointAdvisories::forget(const EndpointId& id)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end())
+        return;
+    if (!found->second.leavingSince) {
+        m_endpoints.erase(found);
+        return;
+    }
+    State left;
+    left.incarnation = found->second.incarnation;
+    left.service = found->second.service;
+    left.leavingSince = found->second.leavingSince;
+    found->second = std::move(left);
+}
+
 void EndpointAdvisories::setFleet(std::vector<HostId> others, MonotonicTime now)
 {
     const bool isChange = others != m_others;
     m_others = std::move(others);
     if (isChange)
         std::erase_if(m_reportedDemand, [this](const auto& entry) { return entry.first != m_self && std::find(m_others.begin(), m_others.end(), entry.first) == m_others.end(); });
+    std::erase_if(m_endpoints, [now](const auto& entry) { return entry.second.leavingSince && *entry.second.leavingSince + kLeavingRetention <= now; });
     for (auto& [id, state] : m_endpoints) {
         if (!state.limit)
             continue;
@@ -186,6 +230,8 @@
             const auto at = state.limit ? state.namedAt : state.unlimitedAt;
             report.limits.push_back({ id, state.incarnation, state.limit, std::chrono::ceil<milliseconds>(now - at) });
         }
+        if (state.isLeavingRead && now < *state.leavingSince + kLeavingReportTime)
+            report.leaving.push_back({ id, state.incarnation });
         if (state.limit && !report.demand.contains(state.service))
             report.demand[state.service] = m_demand[state.service].expectedWithin(kDemandHorizon, now).requests;
     }
--- a/src/hornbeamgate/gateway/endpoint_advisories.hpp
+++ b/src/hornbeamgate/gateway/endpoint_advisories.hpp
@@ -2,6 +2,7 @@
 
 #include "hornbeamgate/base/ids.hpp"
 #include "hornbeamgate/base/time.hpp"
+#include "hornbeamgate/gateway/endpoint_registry.hpp"
 #include "hornbeamgate/gateway/shared_token_bucket.hpp"
 #include "hornbeamgate/rates/demand_meter.hpp"
 
@@ -15,6 +16,7 @@
 /// What an endpoint asks of all daemons in the head of a response.
 struct EndpointAdvice {
     std::optional<double> requestsPerSecond; ///< the most that it takes from all daemons together
+    bool isLeaving = false; ///< it will end and wants no more requests
 };
 
 /// Size of a request as far as limits are concerned. A limit counts requests whatever they cost the endpoint, so large ones
@@ -31,6 +33,11 @@
     ServiceId service;
 };
 
+inline EndpointInstance instanceOf(const EndpointEntry& entry)
+{
+    return { entry.id, entry.incarnation, entry.service };
+}
+
 /// Limit that a daemon has read in a response, as it is told to other daemons.
 struct AdvisedLimit {
     EndpointId endpoint;
@@ -39,9 +46,16 @@
     std::chrono::milliseconds age {}; ///< of the response with the limit, or of the request that was answered without one
 };
 
+/// Endpoint that has said in a response that it leaves.
+struct LeavingEndpoint {
+    EndpointId endpoint;
+    Incarnation incarnation;
+};
+
 /// What a daemon tells the others about the endpoints' advice.
 struct AdvisoryReport {
     std::vector<AdvisedLimit> limits;
+    std::vector<LeavingEndpoint> leaving;
     std::map<ServiceId, std::int64_t> demand; ///< requests that the daemon expects within DemandHorizon
 };
 
@@ -70,7 +84,13 @@
     bool recordError(const EndpointInstance& endpoint, const EndpointAdvice& advice, MonotonicTime sentAt, MonotonicTime now);
     /// Handles what another daemon says of `endpoint`. Returns true if the endpoint's limit has changed.
     bool recordPeerLimit(const EndpointInstance& endpoint, const AdvisedLimit& limit, MonotonicTime now);
-    void forget(const EndpointId& id) { m_endpoints.erase(id); }
+    /// Records that the endpoint said in a response that it leaves, which holds until its incarnation ends. Returns true if
+    /// this was not known.
+    bool recordLeaving(const EndpointInstance& endpoint, MonotonicTime now);
+    /// Records that another daemon read it in a response.
+    bool recordPeerLeaving(const EndpointInstance& endpoint, MonotonicTime now);
+    /// Forgets an endpoint that is gone, except that it leaves: an older record of the directory may bring it back.
+    void forget(const EndpointId& id);
 
     /// Sets the other daemons that may be running.
     void setFleet(std::vector<HostId> others, MonotonicTime now);
@@ -80,6 +100,8 @@
     /// with limited endpoints, by which the shares are computed from now on.
     AdvisoryReport report(MonotonicTime since, MonotonicTime now);
 
+    /// Returns whether the endpoint has said that it leaves.
+    bool isLeaving(const EndpointInstance& endpoint) const;
     /// Returns the limit of requests per second over all daemons that the endpoint has named.
     std::optional<double> limitOf(const EndpointInstance& endpoint) const;
     /// Returns this daemon's share of the limit in requests per second; zero if it has none.
@@ -95,6 +117,8 @@
     struct State {
         Incarnation incarnation;
         ServiceId service;
+        std::optional<MonotonicTime> leavingSince;
+        bool isLeavingRead = false; ///< in a response to this daemon
         std::optional<double> limit;
         MonotonicTime namedAt {}; ///< last time the endpoint named a limit
         MonotonicTime unlimitedAt {}; ///< the endpoint answered a request sent at this time without a limit
--- a/src/hornbeamgate/gateway/peer_report.cpp
+++ b/src/hornbeamgate/gateway/peer_report.cpp
@@ -35,7 +35,10 @@
         json demand = json::array();
         for (const auto& [service, requests] : report.demand)
             demand.push_back(json::array({ service.value(), requests }));
-        return json::array({ std::move(limits), std::move(demand) });
+        json leaving = json::array();
+        for (const auto& endpoint : report.leaving)
+            leaving.push_back(json::array({ endpoint.endpoint.value(), endpoint.incarnation.value() }));
+        return json::array({ std::move(limits), std::move(demand), std::move(leaving) });
     }
 
     AdvisoryReport decodeAdvisories(const json& value)
@@ -47,6 +50,8 @@
         }
         for (const auto& item : value.at(1))
             report.demand[ServiceId(item.at(0).get<std::string>())] = std::clamp<std::int64_t>(item.at(1).get<std::int64_t>(), 0, kMaxDemand);
+        for (const auto& item : value.at(2))
+            report.leaving.push_back({ EndpointId(item.at(0).get<std::string>()), Incarnation(item.at(1).get<std::uint64_t>()) });
         return report;
     }
 
--- a/src/hornbeamgate/gateway/placement.cpp
+++ b/src/hornbeamgate/gateway/placement.cpp
@@ -104,7 +104,7 @@
 
 Placement Placer::choose(const PlacementRequest& request, const EndpointView& view, MonotonicTime now) const
 {
-    const auto entries = eligible(request, view.registry);
+    const auto entries = eligible(request, view);
     const auto shared = sharedPrefix(request);
     const auto peers = groupByWeights(entries, request, shared, view, now);
     std::optional<Candidate> best;
@@ -113,7 +113,7 @@
     for (const auto* entry : entries) {
         if (request.tried.contains(entry->id))
             continue;
-        const EndpointInstance instance { entry->id, entry->incarnation, entry->service };
+        const auto instance = instanceOf(*entry);
         if (!view.advisories.admits(instance, size, now)) {
             limited.add(view.advisories.shareOf(instance), view.advisories.nextAdmission(instance, size, now));
             continue;
@@ -144,11 +144,11 @@
     return placement;
 }
 
-std::vector<const EndpointEntry*> Placer::eligible(const PlacementRequest& request, const EndpointRegistry& registry)
+std::vector<const EndpointEntry*> Placer::eligible(const PlacementRequest& request, const EndpointView& view)
 {
     std::vector<const EndpointEntry*> entries;
-    for (const auto& [id, entry] : registry.entries()) {
-        if (entry.service == request.service && !entry.isLeaving)
+    for (const auto& [id, entry] : view.registry.entries()) {
+        if (entry.service == request.service && !entry.isLeaving && !view.advisories.isLeaving(instanceOf(entry)))
             entries.push_back(&entry);
     }
     const auto isOverdue = [&request](const auto* entry) { return weightsOf(*entry, request) < request.oldestWeights; };
--- a/src/hornbeamgate/gateway/placement.hpp
+++ b/src/hornbeamgate/gateway/placement.hpp
@@ -121,7 +121,7 @@
         Duration cost {}; ///< total cost by which candidates are compared
     };
 
-    static std::vector<const EndpointEntry*> eligible(const PlacementRequest& request, const EndpointRegistry& registry);
+    static std::vector<const EndpointEntry*> eligible(const PlacementRequest& request, const EndpointView& view);
     static PeersByWeights groupByWeights(const std::vector<const EndpointEntry*>& entries, const PlacementRequest& request, const SharedPrefix& shared, const EndpointView& view, MonotonicTime now);
     Candidate estimate(const EndpointEntry& entry, const PlacementRequest& request, const SharedPrefix& shared, const PeersByWeights& peers, const EndpointView& view, MonotonicTime now) const;
     BlockPlan planBlocks(const EndpointEntry& entry, const SharedPrefix& shared, const Peers& peers, const EndpointView& view, MonotonicTime now) const;
--- a/src/hornbeamgate/gateway/weights_rollout.cpp
+++ b/src/hornbeamgate/gateway/weights_rollout.cpp
@@ -93,7 +93,7 @@
     return oldest;
 }
 
-std::vector<WeightsOrder> WeightsRollout::takeDue(const EndpointRegistry& registry, MonotonicTime now)
+std::vector<WeightsOrder> WeightsRollout::takeDue(const EndpointRegistry& registry, const EndpointAdvisories& advisories, MonotonicTime now)
 {
     std::vector<WeightsOrder> due;
     if (!isConfirmed(now) || !m_journal.isOwned())
@@ -106,7 +106,7 @@
             if (known == entry.weights.end())
                 continue;
             ++engines;
-            if (known->second < target && !entry.isLeaving)
+            if (known->second < target && !entry.isLeaving && !advisories.isLeaving(instanceOf(entry)))
                 outdated.push_back(&entry);
         }
         // Targets may change faster than all engines can load, so engines with the oldest weights come first.
--- a/src/hornbeamgate/gateway/weights_rollout.hpp
+++ b/src/hornbeamgate/gateway/weights_rollout.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hornbeamgate/gateway/endpoint_advisories.hpp"
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
 #include "hornbeamgate/gateway/order_journal.hpp"
 
@@ -62,7 +63,7 @@
     const std::map<ModelId, WeightsVersion>& targets() const { return m_targets; }
 
     /// Returns the orders to prepare now. Each remains in progress until `finishOrder` is called.
-    std::vector<WeightsOrder> takeDue(const EndpointRegistry& registry, MonotonicTime now);
+    std::vector<WeightsOrder> takeDue(const EndpointRegistry& registry, const EndpointAdvisories& advisories, MonotonicTime now);
     /// Returns true while the order for `endpoint` may be sent: its engine was recorded in the journal recently.
     bool mayOrder(const EndpointId& endpoint, MonotonicTime now) const { return isConfirmed(now) && m_journal.isRecorded(endpoint, now); }
     /// Returns true while the membership is confirmed, even if orders are not allowed yet.
--- a/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
@@ -193,9 +193,9 @@
     const auto now = MonotonicClock::now();
     json endpoints = json::array();
     for (const auto& [id, entry] : m_state.registry.entries()) {
-        endpoints.push_back({ { "id", id.value() }, { "service", entry.service.value() }, { "address", entry.address.text() }, { "leaving", entry.isLeaving },
+        endpoints.push_back({ { "id", id.value() }, { "service", entry.service.value() }, { "address", entry.address.text() }, { "leaving", entry.isLeaving || m_state.advisories.isLeaving(instanceOf(entry)) },
             { "load", m_state.loads.load(id, now) }, { "failure_share", m_state.loads.failureRate(id) }, { "avoided", m_state.loads.isAvoided(id, now) },
-            { "limit_per_second", m_state.advisories.limitOf({ id, entry.incarnation, entry.service }).value_or(-1) } });
+            { "limit_per_second", m_state.advisories.limitOf(instanceOf(entry)).value_or(-1) } });
     }
     const json state { { "host", m_self.host.value() }, { "config_version", m_state.routes ? m_state.routes->config().version.value() : 0 },
         { "config_age_ms", m_state.configAge(now).count() }, { "draining", m_state.isDraining }, { "holds_duty", m_state.weightsRollout.isConfirmed(now) }, { "peers_heard", m_state.peers.heardCount(now) },
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -227,7 +227,7 @@
 
 bool GatewayRequest::wouldOvertake(const EndpointEntry& endpoint)
 {
-    return !m_queueTicket.isHeld() && m_state.advisories.limitOf({ endpoint.id, endpoint.incarnation, endpoint.service })
+    return !m_queueTicket.isHeld() && m_state.advisories.limitOf(instanceOf(endpoint))
         && m_state.queueOf(m_service).hasWaiters(PromptQueueDispatcher::Reason::Admission);
 }
 
@@ -325,7 +325,7 @@
     if (placement.blocks)
         m_state.blocks.recordUse(endpoint.id, *placement.blocks, now);
     m_state.loads.sent(endpoint.id, m_sendNumber, placement.prefillTokens, now);
-    m_state.advisories.recordSend({ endpoint.id, endpoint.incarnation, endpoint.service }, now);
+    m_state.advisories.recordSend(instanceOf(endpoint), now);
     const auto metadata = forwardMetadata(endpoint, placement, now);
     m_requiredWeights = metadata.requiredWeights;
     if (placement.blocks)
@@ -386,6 +386,8 @@
     if (!m_responseMetadata.unreadableAdvice.empty())
         logEvent(LogEvent::AdviceUnreadable, { { "endpoint", m_endpoint.value() }, { "field", m_responseMetadata.unreadableAdvice } });
     const EndpointInstance endpoint { m_endpoint, m_incarnation, m_service };
+    if (m_responseMetadata.advice.isLeaving && m_state.advisories.recordLeaving(endpoint, now))
+        logEvent(LogEvent::EndpointsChanged, { { "endpoint", m_endpoint.value() }, { "state", "leaving" }, { "request", m_metadata.requestId } });
     const bool isSuccess = m_responseMetadata.isSigned && m_responseHead->status / kStatusClass == kSuccessClass;
     const bool isChange = isSuccess ? m_state.advisories.recordResponse(endpoint, m_responseMetadata.advice, m_sentAt, now)
                                     : m_state.advisories.recordError(endpoint, m_responseMetadata.advice, m_sentAt, now);
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -165,6 +165,7 @@
         applyLoaded(weights);
     m_state.blocks.recordPeerUses(report->blockUses, now);
     m_state.loads.setPeerPendingPrefillTokens(report->host, report->pendingPrefillTokens, now);
+    applyLeaving(*report, now);
     // The ages in a report that was received late are too low.
     if (!m_standstills.mayReadBacklog(now)) {
         logQuarantineChanges(m_state.quarantine.recordPeerReport(report->quarantine, now));
@@ -173,6 +174,16 @@
     fetchNewerRecords(*report);
 }
 
+void PeerTask::applyLeaving(const PeerReport& report, MonotonicTime now)
+{
+    for (const auto& leaving : report.advisories.leaving) {
+        const auto* known = m_state.registry.find(leaving.endpoint);
+        const EndpointInstance endpoint { leaving.endpoint, leaving.incarnation, known ? known->service : ServiceId() };
+        if (m_state.advisories.recordPeerLeaving(endpoint, now))
+            logEvent(LogEvent::EndpointsChanged, { { "endpoint", leaving.endpoint.value() }, { "state", "leaving" }, { "peer", report.host.value() } });
+    }
+}
+
 void PeerTask::applyAdvisories(const PeerReport& report, MonotonicTime now)
 {
     m_state.advisories.setPeerDemand(report.host, report.advisories.demand);
--- a/src/hornbeamgate/runtime/gateway/peer_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.hpp
@@ -34,6 +34,7 @@
     void report();
     std::chrono::milliseconds reportInterval() const;
     void onDatagram(std::string_view bytes);
+    void applyLeaving(const PeerReport& report, MonotonicTime now);
     void applyAdvisories(const PeerReport& report, MonotonicTime now);
     void applyLoaded(const LoadedWeights& weights);
     void fetchNewerRecords(const PeerReport& report);
--- a/src/hornbeamgate/runtime/gateway/weights_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/weights_task.cpp
@@ -56,7 +56,7 @@
     m_state.weightsRollout.update(now);
     if (!m_state.weightsRollout.isConfirmed(now))
         abandonUnsentOrders();
-    for (const auto& order : m_state.weightsRollout.takeDue(m_state.registry, now))
+    for (const auto& order : m_state.weightsRollout.takeDue(m_state.registry, m_state.advisories, now))
         startOperation(order);
     sendRecordedOrders(now);
     updateJournal(now);
--- a/tests/gateway/advised_limits_fleet.test.cpp
+++ b/tests/gateway/advised_limits_fleet.test.cpp
@@ -175,7 +175,9 @@
     void answer(std::size_t index, std::size_t engineIndex, MonotonicTime sentAt)
     {
         auto& engine = m_engines[engineIndex];
-        const auto advice = m_areLimitsNamed ? EndpointAdvice { engine.limit } : EndpointAdvice {};
+        EndpointAdvice advice;
+        if (m_areLimitsNamed)
+            advice.requestsPerSecond = engine.limit;
         if (m_areLimitsNamed && !engine.firstNamed)
             engine.firstNamed = m_now;
         later(m_now + randomDelay(1, 60), [this, index, engineIndex, sentAt, advice] {
--- a/tests/gateway/endpoint_advisories.test.cpp
+++ b/tests/gateway/endpoint_advisories.test.cpp
@@ -15,7 +15,9 @@
 
 EndpointAdvice limit(double requestsPerSecond)
 {
-    return { requestsPerSecond };
+    EndpointAdvice advice;
+    advice.requestsPerSecond = requestsPerSecond;
+    return advice;
 }
 
 } // namespace
@@ -172,3 +174,35 @@
     CHECK(advisories.recordPeerLimit(kEngine, lifted, at(2000ms)));
     CHECK_FALSE(advisories.limitOf(kEngine));
 }
+
+TEST_CASE("that an endpoint leaves holds until its incarnation ends, also when it was gone meanwhile [advisories]")
+{
+    EndpointAdvisories advisories { HostId("front-1") };
+    CHECK_FALSE(advisories.isLeaving(kEngine));
+    CHECK(advisories.recordLeaving(kEngine, at(0ms)));
+    CHECK_FALSE(advisories.recordLeaving(kEngine, at(1ms)));
+    advisories.recordResponse(kEngine, {}, at(2ms), at(3ms));
+    advisories.forget(kEngine.id);
+    CHECK(advisories.isLeaving(kEngine));
+    const EndpointInstance restarted { kEngine.id, Incarnation(8), kEngine.service };
+    CHECK_FALSE(advisories.isLeaving(restarted));
+    CHECK(advisories.recordLeaving(restarted, at(4ms)));
+    CHECK_FALSE(advisories.recordLeaving(kEngine, at(5ms)));
+    advisories.setFleet({}, at(11min));
+    CHECK_FALSE(advisories.isLeaving(restarted));
+}
+
+TEST_CASE("that an endpoint leaves is told by the daemon that read it, for some seconds [advisories]")
+{
+    EndpointAdvisories reader { HostId("front-2") };
+    reader.recordLeaving(kEngine, at(0ms));
+    const auto told = reader.report(at(0ms), at(4s)).leaving;
+    REQUIRE(told.size() == 1);
+    CHECK(told.front().endpoint == kEngine.id);
+    CHECK(told.front().incarnation == kEngine.incarnation);
+    CHECK(reader.report(at(0ms), at(6s)).leaving.empty());
+    EndpointAdvisories advisories { HostId("front-1") };
+    CHECK(advisories.recordPeerLeaving(kEngine, at(10ms)));
+    CHECK(advisories.isLeaving(kEngine));
+    CHECK(advisories.report(at(0ms), at(20ms)).leaving.empty());
+}
--- a/tests/gateway/peer_report.test.cpp
+++ b/tests/gateway/peer_report.test.cpp
@@ -30,6 +30,7 @@
     report.advisories.limits.push_back({ EndpointId("e"), Incarnation(9), 3.5, 40ms });
     report.advisories.limits.push_back({ EndpointId("f"), Incarnation(8), std::nullopt, 50ms });
     report.advisories.demand[ServiceId("s")] = 77;
+    report.advisories.leaving.push_back({ EndpointId("g"), Incarnation(3) });
     const auto decoded = decodePeerReport(encodePeerReport(report));
     REQUIRE(decoded);
     REQUIRE(decoded->advisories.limits.size() == 2);
@@ -39,6 +40,9 @@
     CHECK(decoded->advisories.limits[0].age == 40ms);
     CHECK_FALSE(decoded->advisories.limits[1].requestsPerSecond);
     CHECK(decoded->advisories.demand == report.advisories.demand);
+    REQUIRE(decoded->advisories.leaving.size() == 1);
+    CHECK(decoded->advisories.leaving[0].endpoint == EndpointId("g"));
+    CHECK(decoded->advisories.leaving[0].incarnation == Incarnation(3));
     CHECK(decoded->host == report.host);
     CHECK(decoded->incarnation == report.incarnation);
     CHECK(decoded->address == report.address);
--- a/tests/gateway/placement.test.cpp
+++ b/tests/gateway/placement.test.cpp
@@ -21,6 +21,13 @@
 const BlockDirectory kNoBlocks;
 const EndpointAdvisories kNoAdvice { HostId("front-1") };
 
+EndpointAdvice limitOf(double requestsPerSecond)
+{
+    EndpointAdvice advice;
+    advice.requestsPerSecond = requestsPerSecond;
+    return advice;
+}
+
 EndpointEntry engine(std::size_t number, const std::string& dataCenter, std::uint64_t version = 1)
 {
     EndpointEntry entry;
@@ -402,7 +409,7 @@
     REQUIRE(home);
     const auto* entry = registry.find(*home);
     const EndpointInstance instance { *home, entry->incarnation, entry->service };
-    advisories.recordResponse(instance, { 1.0 }, at(0ms), at(1ms));
+    advisories.recordResponse(instance, limitOf(1), at(0ms), at(1ms));
     CHECK(placer.choose(request, { registry, loads, advisories, kNoBlocks }, at(10ms)).endpoint == home);
     advisories.recordSend(instance, at(10ms));
     const auto other = placer.choose(request, { registry, loads, advisories, kNoBlocks }, at(20ms));
@@ -417,7 +424,7 @@
     EndpointAdvisories advisories { HostId("front-1") };
     for (const auto& [id, entry] : registry.entries()) {
         const EndpointInstance instance { id, entry.incarnation, entry.service };
-        advisories.recordResponse(instance, { id == EndpointId("e100") ? 1.0 : 4.0 }, at(0ms), at(1ms));
+        advisories.recordResponse(instance, limitOf(id == EndpointId("e100") ? 1 : 4), at(0ms), at(1ms));
         advisories.recordSend(instance, at(2ms));
     }
     const auto placement = placerAt("a").choose(shortPrompt(), { registry, loads, advisories, kNoBlocks }, at(2ms));
--- a/tests/gateway/rollout_fleet.cpp
+++ b/tests/gateway/rollout_fleet.cpp
@@ -10,6 +10,7 @@
     using std::chrono::milliseconds;
 
     const ModelId kModel("m");
+    const EndpointAdvisories kNoAdvice { HostId("front-1") };
     constexpr milliseconds kStep { 25 };
     constexpr milliseconds kBound { 6000 };
     constexpr milliseconds kMembershipTtl { 2000 };
@@ -347,7 +348,7 @@
 void RolloutFleet::updateOperations(std::size_t daemon)
 {
     auto& self = m_daemons[daemon];
-    for (const auto& order : self.rollout->takeDue(self.registry, m_now)) {
+    for (const auto& order : self.rollout->takeDue(self.registry, kNoAdvice, m_now)) {
         self.operations[order.endpoint] = { order, false, false, 0, m_now + kLoadTimeout, m_now, ++m_operationNumber };
     }
     std::vector<EndpointId> endpoints;
--- a/tests/gateway/weights_rollout.test.cpp
+++ b/tests/gateway/weights_rollout.test.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 const ModelId kModel("m");
+const EndpointAdvisories kNoAdvice { HostId("front-1") };
 constexpr std::chrono::milliseconds kLease { 3000 };
 constexpr std::chrono::milliseconds kBound { 10000 };
 /// Time after a takeover for which the engines in the predecessor's record must wait.
@@ -69,12 +70,12 @@
     const auto registry = registryOf(6);
     auto rollout = leaderSince(at(0ms), { EndpointId("e100"), EndpointId("e101") });
     rollout.setTarget(kModel, WeightsVersion(2), at(0ms));
-    const auto due = rollout.takeDue(registry, at(0ms));
+    const auto due = rollout.takeDue(registry, kNoAdvice, at(0ms));
     REQUIRE(due.size() == 2);
     CHECK(due.front() == WeightsOrder { EndpointId("e102"), kModel, WeightsVersion(2), FencingToken(7) });
     for (const auto& order : due)
         rollout.finishOrder(order.endpoint, false, at(10s));
-    CHECK(rollout.takeDue(registry, at(kTakeoverDelay)).front().endpoint == EndpointId("e100"));
+    CHECK(rollout.takeDue(registry, kNoAdvice, at(kTakeoverDelay)).front().endpoint == EndpointId("e100"));
 }
 
 TEST_CASE("no orders are prepared before the predecessor's orders are known [weights]")
@@ -83,11 +84,11 @@
     WeightsRollout rollout(HostId("front-1"), kLease, kBound);
     rollout.setTarget(kModel, WeightsVersion(2), at(0ms));
     rollout.confirm(FencingToken(7), at(1h), at(0ms));
-    CHECK(rollout.takeDue(registry, at(0ms)).empty());
+    CHECK(rollout.takeDue(registry, kNoAdvice, at(0ms)).empty());
     completeJournalCall(rollout, OrderRecord {}, at(0ms));
-    CHECK(rollout.takeDue(registry, at(0ms)).empty());
+    CHECK(rollout.takeDue(registry, kNoAdvice, at(0ms)).empty());
     completeJournalCall(rollout, OrderRecord {}, at(0ms));
-    CHECK(rollout.takeDue(registry, at(0ms)).size() == 2);
+    CHECK(rollout.takeDue(registry, kNoAdvice, at(0ms)).size() == 2);
 }
 
 TEST_CASE("a leader whose membership is not confirmed in time stops, and reads the journal when it returns [weights]")
@@ -102,10 +103,10 @@
     CHECK_FALSE(rollout.mayOrder(EndpointId("e100"), at(5s)));
     rollout.update(at(5s));
     rollout.confirm(FencingToken(9), at(20s), at(6s));
-    CHECK(rollout.takeDue(registry, at(6s)).empty());
+    CHECK(rollout.takeDue(registry, kNoAdvice, at(6s)).empty());
     completeJournalCall(rollout, recordOf(8, { EndpointId("e100") }), at(6s));
     completeJournalCall(rollout, std::nullopt, at(6s));
-    CHECK(rollout.takeDue(registry, at(6s)).front().endpoint == EndpointId("e101"));
+    CHECK(rollout.takeDue(registry, kNoAdvice, at(6s)).front().endpoint == EndpointId("e101"));
 }
 
 TEST_CASE("a leader that finds the record of a newer one stops [weights]")
@@ -151,7 +152,7 @@
             rollout.setTarget(kModel, WeightsVersion(++newest), now);
             targetSetAt[newest] = now;
         }
-        for (const auto& order : rollout.takeDue(registry, now))
+        for (const auto& order : rollout.takeDue(registry, kNoAdvice, now))
             loadEnds[order.endpoint] = now + 2s;
         for (auto load = loadEnds.begin(); load != loadEnds.end();) {
             if (load->second > now) {
@@ -176,7 +177,7 @@
     rollout.setTarget(kModel, WeightsVersion(2), at(0ms));
     int attempts = 0;
     for (auto now = at(0ms); now < at(10s); now += 50ms) {
-        for (const auto& order : rollout.takeDue(registry, now)) {
+        for (const auto& order : rollout.takeDue(registry, kNoAdvice, now)) {
             attempts += order.endpoint == EndpointId("e100") ? 1 : 0;
             rollout.finishOrder(order.endpoint, false, now);
         }
@@ -194,3 +195,15 @@
     CHECK(rollout.oldestAllowed(kModel, at(12s)) == WeightsVersion(3));
     CHECK(rollout.oldestAllowed(ModelId("other"), at(12s)) == WeightsVersion());
 }
+
+TEST_CASE("an engine that has said that it leaves gets no order [weights]")
+{
+    const auto registry = registryOf(1);
+    auto rollout = leaderSince(at(0ms), {});
+    rollout.setTarget(kModel, WeightsVersion(2), at(0ms));
+    EndpointAdvisories advisories { HostId("front-1") };
+    const auto engine = instanceOf(registry.entries().begin()->second);
+    advisories.recordLeaving(engine, at(0ms));
+    CHECK(rollout.takeDue(registry, advisories, at(1ms)).empty());
+    CHECK(rollout.takeDue(registry, kNoAdvice, at(1ms)).size() == 1);
+}
--- a/tests/platform/wire_format.test.cpp
+++ b/tests/platform/wire_format.test.cpp
@@ -167,3 +167,19 @@
     }
     CHECK(decode({ std::string(5000, '9') + "x" }).unreadableAdvice.size() < 100);
 }
+
+TEST_CASE("an engine says that it leaves with a 1; anything else counts as not said [platform]")
+{
+    const platform::PlatformWireFormat wire;
+    const auto decode = [&wire](const std::string& value) {
+        HttpResponseHead head { 200, {} };
+        head.fields.add("Server-Leaving", value);
+        return wire.decodeResponse(head);
+    };
+    CHECK(decode("1").advice.isLeaving);
+    CHECK_FALSE(wire.decodeResponse({ 200, {} }).advice.isLeaving);
+    for (const auto* text : { "", "0", "true", "-1", "11" }) {
+        CHECK_FALSE(decode(text).advice.isLeaving);
+        CHECK(decode(text).unreadableAdvice == "Server-Leaving: " + std::string(text));
+    }
+}
