Send nothing to an engine for the time that it asks for

An engine that turns a request away with 503 may add Retry-After; it was not decoded, the engine was avoided for 100 ms and got requests again, also in that time if the others were worse. No caller has reported it.

EndpointAdvisories keeps the time by incarnation; a longer one is never shortened, nor forgotten with the engine's record. Placement, the queue, repeated and resumed requests, weights orders and state queries keep to it. Afterwards requests are resumed gradually: at the rate of the slots, which doubles four times a second. Missing, empty, negative, fractional, huge, repeated and unreadable values and dates have tests.

--- a/src/hornbeamgate/gateway/endpoint_advisories.cpp
+++ b/src/hornbeamgate/gateway/endpoint_advisories.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 namespace hornbeamgate::gateway {
 
@@ -29,9 +30,28 @@
     constexpr std::chrono::seconds kLeavingReportTime { 5 };
     /// How long an endpoint that left is remembered; far longer than it takes to leave.
     constexpr std::chrono::minutes kLeavingRetention { 10 };
+    /// How long it is remembered that an endpoint names no limit any more, against reports of earlier limits.
+    constexpr std::chrono::seconds kUnlimitedRetention { 60 };
+    /// Duration of the resumption after a pause, and time in which its rate doubles.
+    constexpr milliseconds kResumption { 1500 };
+    constexpr std::chrono::duration<double> kResumptionDoubling { 0.25 };
     /// Time that a report of another daemon may take; its age does not include it.
     constexpr milliseconds kMaxReportTransit { 500 };
 
+    /// Returns the time after the start of a resumption at which it has admitted `sends` requests.
+    Duration resumptionTime(double rate, int sends)
+    {
+        const double doublings = std::log2(1 + sends * std::numbers::ln2 / (rate * kResumptionDoubling.count()));
+        return std::chrono::duration_cast<Duration>(kResumptionDoubling * doublings);
+    }
+
+    /// Mean rate of a whole resumption.
+    double meanResumptionRate(double rate)
+    {
+        const std::chrono::duration<double> time(kResumption);
+        return rate * (std::exp2(time / kResumptionDoubling) - 1) * kResumptionDoubling.count() / std::numbers::ln2 / time.count();
+    }
+
     double minLevel(RequestSize size)
     {
         return size == RequestSize::Large ? -kLargeAdvance : 0;
@@ -178,20 +198,36 @@
     return state && state->leavingSince;
 }
 
+bool EndpointAdvisories::recordRetryAfter(const EndpointInstance& endpoint, int slots, milliseconds retryAfter, MonotonicTime now)
+{
+    auto* state = obtain(endpoint);
+    const auto end = now + retryAfter;
+    if (!state || end <= state->pausedUntil)
+        return false;
+    state->pausedUntil = end;
+    state->resumedAt = end + kResumption;
+    state->resumptionRate = std::max(1, slots) / static_cast<double>(m_others.size() + 1);
+    state->resumedSends = 0;
+    return true;
+}
+
 void EndpointAdvisories::forget(const EndpointId& id)
 {
     const auto found = m_endpoints.find(id);
     if (found == m_endpoints.end())
         return;
-    if (!found->second.leavingSince) {
-        m_endpoints.erase(found);
-        return;
-    }
-    State left;
-    left.incarnation = found->second.incarnation;
-    left.service = found->second.service;
-    left.leavingSince = found->second.leavingSince;
-    found->second = std::move(left);
+    found->second.limit.reset();
+    found->second.readAt.reset();
+}
+
+void EndpointAdvisories::dropExpired(MonotonicTime now)
+{
+    std::erase_if(m_endpoints, [now](const auto& entry) {
+        const auto& state = entry.second;
+        const bool hasLeft = state.leavingSince && *state.leavingSince + kLeavingRetention <= now;
+        const bool isIdle = !state.limit && !state.leavingSince && state.resumedAt <= now && state.unlimitedAt + kUnlimitedRetention <= now;
+        return hasLeft || isIdle;
+    });
 }
 
 void EndpointAdvisories::setFleet(std::vector<HostId> others, MonotonicTime now)
@@ -200,7 +236,7 @@
     m_others = std::move(others);
     if (isChange)
         std::erase_if(m_reportedDemand, [this](const auto& entry) { return entry.first != m_self && std::find(m_others.begin(), m_others.end(), entry.first) == m_others.end(); });
-    std::erase_if(m_endpoints, [now](const auto& entry) { return entry.second.leavingSince && *entry.second.leavingSince + kLeavingRetention <= now; });
+    dropExpired(now);
     for (auto& [id, state] : m_endpoints) {
         if (!state.limit)
             continue;
@@ -252,23 +288,53 @@
     return state && state->limit ? state->share.rate() : 0;
 }
 
+bool EndpointAdvisories::isPaused(const EndpointInstance& endpoint, MonotonicTime now) const
+{
+    const auto* state = find(endpoint);
+    return state && now < state->pausedUntil;
+}
+
+double EndpointAdvisories::admissionRate(const EndpointInstance& endpoint, MonotonicTime now) const
+{
+    const auto* state = find(endpoint);
+    if (!state)
+        return 0;
+    if (state->limit)
+        return state->share.rate();
+    return now < state->resumedAt ? meanResumptionRate(state->resumptionRate) : 0;
+}
+
 bool EndpointAdvisories::admits(const EndpointInstance& endpoint, RequestSize size, MonotonicTime now) const
 {
     const auto* state = find(endpoint);
-    return !state || !state->limit || (state->hasShare && state->share.level(now) > minLevel(size));
+    if (!state)
+        return true;
+    if (now < state->resumedAt && now < state->pausedUntil + resumptionTime(state->resumptionRate, state->resumedSends))
+        return false;
+    return !state->limit || (state->hasShare && state->share.level(now) > minLevel(size));
 }
 
 std::optional<MonotonicTime> EndpointAdvisories::nextAdmission(const EndpointInstance& endpoint, RequestSize size, MonotonicTime now) const
 {
     const auto* state = find(endpoint);
+    auto next = now;
+    if (state && now < state->resumedAt)
+        next = std::max(now, std::min(state->resumedAt, state->pausedUntil + resumptionTime(state->resumptionRate, state->resumedSends)));
     if (!state || !state->limit)
-        return now;
-    return state->hasShare ? std::optional(state->share.timeOfLevel(minLevel(size), now)) : std::nullopt;
+        return next;
+    if (!state->hasShare)
+        return std::nullopt;
+    return std::max(next, state->share.timeOfLevel(minLevel(size), now));
 }
 
 void EndpointAdvisories::recordSend(const EndpointInstance& endpoint, MonotonicTime now)
 {
-    if (auto* state = find(endpoint); state && state->limit)
+    auto* state = find(endpoint);
+    if (!state)
+        return;
+    if (now < state->resumedAt)
+        ++state->resumedSends;
+    if (state->limit)
         state->share.charge(1, now);
 }
 
--- a/src/hornbeamgate/gateway/endpoint_advisories.hpp
+++ b/src/hornbeamgate/gateway/endpoint_advisories.hpp
@@ -17,6 +17,7 @@
 struct EndpointAdvice {
     std::optional<double> requestsPerSecond; ///< the most that it takes from all daemons together
     bool isLeaving = false; ///< it will end and wants no more requests
+    std::optional<std::chrono::milliseconds> retryAfter; ///< it wants nothing from this daemon for so long
 };
 
 /// Size of a request as far as limits are concerned. A limit counts requests whatever they cost the endpoint, so large ones
@@ -64,6 +65,10 @@
 /// Advice belongs to one incarnation of an endpoint. It holds until the endpoint asks for something else, or for nothing, in
 /// a response to a request that was sent after the advice had been received: responses overtake each other.
 ///
+/// A request to be left alone for some time holds for the daemon that was told. When the time is over, the daemon sends as
+/// many requests per second as its share of the endpoint's slots, and doubles that several times a second, since everything
+/// that waited would otherwise arrive at once.
+///
 /// A limit holds for all daemons together. It is divided by the demand that the daemons last reported, so that all of them
 /// compute the same shares. A daemon with a share may send a request without having waited for it, so only as many daemons
 /// share a limit as such requests are few beside it; rendezvous hashing selects them.
@@ -89,7 +94,11 @@
     bool recordLeaving(const EndpointInstance& endpoint, MonotonicTime now);
     /// Records that another daemon read it in a response.
     bool recordPeerLeaving(const EndpointInstance& endpoint, MonotonicTime now);
-    /// Forgets an endpoint that is gone, except that it leaves: an older record of the directory may bring it back.
+    /// Records that the endpoint, which runs `slots` requests at a time, wants nothing from this daemon for `retryAfter`.
+    /// Returns true if that is later than what was known.
+    bool recordRetryAfter(const EndpointInstance& endpoint, int slots, std::chrono::milliseconds retryAfter, MonotonicTime now);
+    /// Forgets the limit of an endpoint that is gone. What else it asked for holds on, since an older record of the directory
+    /// may bring it back.
     void forget(const EndpointId& id);
 
     /// Sets the other daemons that may be running.
@@ -106,6 +115,10 @@
     std::optional<double> limitOf(const EndpointInstance& endpoint) const;
     /// Returns this daemon's share of the limit in requests per second; zero if it has none.
     double shareOf(const EndpointInstance& endpoint) const;
+    /// Returns whether the endpoint has asked this daemon for nothing at this time.
+    bool isPaused(const EndpointInstance& endpoint, MonotonicTime now) const;
+    /// Returns the requests per second that the endpoint takes from this daemon; zero if there is no limit, or no share of it.
+    double admissionRate(const EndpointInstance& endpoint, MonotonicTime now) const;
     /// Returns whether the endpoint may be sent a request now.
     bool admits(const EndpointInstance& endpoint, RequestSize size, MonotonicTime now) const;
     /// Returns the earliest time at which the endpoint may be sent a request; none if this daemon has no share of its limit.
@@ -119,6 +132,10 @@
         ServiceId service;
         std::optional<MonotonicTime> leavingSince;
         bool isLeavingRead = false; ///< in a response to this daemon
+        MonotonicTime pausedUntil {};
+        MonotonicTime resumedAt {}; ///< end of the gradual resumption after the pause
+        double resumptionRate = 0; ///< requests per second at its start
+        int resumedSends = 0; ///< requests sent in the course of it
         std::optional<double> limit;
         MonotonicTime namedAt {}; ///< last time the endpoint named a limit
         MonotonicTime unlimitedAt {}; ///< the endpoint answered a request sent at this time without a limit
@@ -135,6 +152,7 @@
     bool nameLimit(State& state, const EndpointId& id, double limit, MonotonicTime now);
     void selectDaemons(State& state, const EndpointId& id) const;
     void updateShare(State& state, MonotonicTime now) const;
+    void dropExpired(MonotonicTime now);
     std::int64_t demandOf(const HostId& daemon, const ServiceId& service) const;
 
     HostId m_self;
--- a/src/hornbeamgate/gateway/placement.cpp
+++ b/src/hornbeamgate/gateway/placement.cpp
@@ -65,7 +65,7 @@
         return durationAtRate(tokens, kPrefillTokensPerMs);
     }
 
-    /// Endpoints that get no more requests now, because of the limits that they named.
+    /// Endpoints that get no more requests now, because of what they asked for.
     struct LimitedEndpoints {
         void add(double share, std::optional<MonotonicTime> next)
         {
@@ -115,7 +115,7 @@
             continue;
         const auto instance = instanceOf(*entry);
         if (!view.advisories.admits(instance, size, now)) {
-            limited.add(view.advisories.shareOf(instance), view.advisories.nextAdmission(instance, size, now));
+            limited.add(view.advisories.admissionRate(instance, now), view.advisories.nextAdmission(instance, size, now));
             continue;
         }
         const auto candidate = estimate(*entry, request, shared, peers, view, now);
--- a/src/hornbeamgate/gateway/placement.hpp
+++ b/src/hornbeamgate/gateway/placement.hpp
@@ -52,7 +52,7 @@
 enum class PlacementRefusal {
     NoEndpoint, ///< the service has no available endpoint
     AllBusy, ///< no endpoint is expected to answer in the remaining time
-    AtLimit, ///< the endpoints that could answer in time get no more requests now, because of the limits that they named
+    AtLimit, ///< the endpoints that could answer in time get no more requests now, because of the limits or pauses they asked for
 };
 
 struct Placement {
--- a/src/hornbeamgate/gateway/weights_rollout.cpp
+++ b/src/hornbeamgate/gateway/weights_rollout.cpp
@@ -106,7 +106,7 @@
             if (known == entry.weights.end())
                 continue;
             ++engines;
-            if (known->second < target && !entry.isLeaving && !advisories.isLeaving(instanceOf(entry)))
+            if (known->second < target && !entry.isLeaving && !advisories.isLeaving(instanceOf(entry)) && !advisories.isPaused(instanceOf(entry), now))
                 outdated.push_back(&entry);
         }
         // Targets may change faster than all engines can load, so engines with the oldest weights come first.
--- a/src/hornbeamgate/observability/log.cpp
+++ b/src/hornbeamgate/observability/log.cpp
@@ -58,6 +58,7 @@
         EventEntry { LogEvent::RecordUnreadable, "record_unreadable", LogLevel::Warning },
         EventEntry { LogEvent::EndpointsChanged, "endpoints_changed", LogLevel::Info },
         EventEntry { LogEvent::EndpointLimited, "endpoint_limited", LogLevel::Info },
+        EventEntry { LogEvent::EndpointPaused, "endpoint_paused", LogLevel::Info },
         EventEntry { LogEvent::AdviceUnreadable, "advice_unreadable", LogLevel::Warning },
         EventEntry { LogEvent::RateChanged, "rate_changed", LogLevel::Info },
         EventEntry { LogEvent::WeightsNamed, "weights_named", LogLevel::Info },
--- a/src/hornbeamgate/observability/log.hpp
+++ b/src/hornbeamgate/observability/log.hpp
@@ -45,6 +45,7 @@
     RecordUnreadable,
     EndpointsChanged,
     EndpointLimited,
+    EndpointPaused,
     AdviceUnreadable,
     RateChanged,
     WeightsNamed,
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -388,6 +388,7 @@
     const EndpointInstance endpoint { m_endpoint, m_incarnation, m_service };
     if (m_responseMetadata.advice.isLeaving && m_state.advisories.recordLeaving(endpoint, now))
         logEvent(LogEvent::EndpointsChanged, { { "endpoint", m_endpoint.value() }, { "state", "leaving" }, { "request", m_metadata.requestId } });
+    recordPause(endpoint, now);
     const bool isSuccess = m_responseMetadata.isSigned && m_responseHead->status / kStatusClass == kSuccessClass;
     const bool isChange = isSuccess ? m_state.advisories.recordResponse(endpoint, m_responseMetadata.advice, m_sentAt, now)
                                     : m_state.advisories.recordError(endpoint, m_responseMetadata.advice, m_sentAt, now);
@@ -396,6 +397,14 @@
     logEvent(LogEvent::EndpointLimited, { { "endpoint", m_endpoint.value() }, { "per_second", m_state.advisories.limitOf(endpoint).value_or(-1) }, { "share", m_state.advisories.shareOf(endpoint) }, { "request", m_metadata.requestId } });
 }
 
+void GatewayRequest::recordPause(const EndpointInstance& endpoint, MonotonicTime now)
+{
+    const auto& retryAfter = m_responseMetadata.advice.retryAfter;
+    const auto* entry = m_state.registry.find(m_endpoint);
+    if (retryAfter && m_state.advisories.recordRetryAfter(endpoint, entry ? entry->slots : 1, *retryAfter, now))
+        logEvent(LogEvent::EndpointPaused, { { "endpoint", m_endpoint.value() }, { "ms", retryAfter->count() }, { "request", m_metadata.requestId } });
+}
+
 void GatewayRequest::onBody(std::string_view bytes)
 {
     if (m_responseMode == ResponseMode::Streamed) {
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -63,6 +63,7 @@
     void onHead(HttpResponseHead head);
     /// Records what the engine asks for in its response.
     void recordAdvice(MonotonicTime now);
+    void recordPause(const EndpointInstance& endpoint, MonotonicTime now);
     void onBody(std::string_view bytes);
     void onComplete();
     void onFailed(ExchangeFailure failure, const std::string& reason);
--- a/src/hornbeamgate/runtime/gateway/weights_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/weights_task.cpp
@@ -137,6 +137,10 @@
         finishOrder(endpoint, "not recorded");
         return;
     }
+    if (m_state.advisories.isPaused(instanceOf(*engine), now)) {
+        operation.timer.set(now + kStateQueryInterval);
+        return;
+    }
     m_calls.start(engine->address, requestText(m_control.encodeReportQuery(*engine), {}), CallLimits::until(now + kCallTimeout),
         [this, endpoint, number = operation.number](const Result<HttpResponse, NetError>& answer) { onEngineState(endpoint, number, answer); });
 }
@@ -182,6 +186,10 @@
         finishOrder(endpoint, "duty lost");
         return;
     }
+    if (m_state.advisories.isPaused(instanceOf(*engine), now)) {
+        finishOrder(endpoint, "the engine wants nothing now");
+        return;
+    }
     operation.order.token = *leadership;
     operation.isOrderSent = true;
     operation.timer.clear();
--- a/tests/gateway/endpoint_advisories.test.cpp
+++ b/tests/gateway/endpoint_advisories.test.cpp
@@ -3,6 +3,7 @@
 #include "gateway/time_support.hpp"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 using namespace hornbeamgate;
 using namespace hornbeamgate::gateway;
@@ -206,3 +207,80 @@
     CHECK(advisories.isLeaving(kEngine));
     CHECK(advisories.report(at(0ms), at(20ms)).leaving.empty());
 }
+
+TEST_CASE("whatever an endpoint says, and others say of it, nothing is sent while it wants nothing [advisories]")
+{
+    CHECK(rc::check([] {
+        EndpointAdvisories advisories { HostId("front-1") };
+        auto now = at(0ms);
+        MonotonicTime pausedUntil {};
+        bool isLeaving = false;
+        const auto steps = *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 8));
+        for (const int step : steps) {
+            now += std::chrono::milliseconds(*rc::gen::inRange(0, 800));
+            const auto sentAt = now - std::chrono::milliseconds(*rc::gen::inRange(0, 2000));
+            const std::chrono::milliseconds retryAfter(*rc::gen::inRange(0, 5000));
+            switch (step) {
+            case 0:
+                advisories.recordRetryAfter(kEngine, 8, retryAfter, now);
+                pausedUntil = std::max(pausedUntil, now + retryAfter);
+                break;
+            case 1:
+                advisories.recordResponse(kEngine, limit(*rc::gen::element(0.0, 3.0, 100.0)), sentAt, now);
+                break;
+            case 2:
+                advisories.recordResponse(kEngine, {}, sentAt, now);
+                break;
+            case 3:
+                advisories.recordPeerLimit(kEngine, { kEngine.id, kEngine.incarnation, std::nullopt, 10ms }, now);
+                break;
+            case 4:
+                advisories.forget(kEngine.id);
+                break;
+            case 5:
+                advisories.setFleet({ HostId("front-2") }, now);
+                break;
+            case 6:
+                isLeaving = isLeaving || retryAfter > 4500ms;
+                if (isLeaving)
+                    advisories.recordLeaving(kEngine, now);
+                break;
+            default:
+                // An earlier process of the engine says nothing of this one.
+                advisories.recordRetryAfter({ kEngine.id, Incarnation(6), kEngine.service }, 8, retryAfter, now);
+            }
+            RC_ASSERT(advisories.isLeaving(kEngine) == isLeaving);
+            if (now >= pausedUntil)
+                continue;
+            RC_ASSERT(advisories.isPaused(kEngine, now));
+            RC_ASSERT(!advisories.admits(kEngine, RequestSize::Large, now));
+            RC_ASSERT(!advisories.admits(kEngine, RequestSize::Small, pausedUntil - 1ms));
+            const auto next = advisories.nextAdmission(kEngine, RequestSize::Small, now);
+            RC_ASSERT(!next || *next >= pausedUntil);
+        }
+    }));
+}
+
+TEST_CASE("after a pause requests are resumed at the rate of the slots, which doubles four times a second [advisories]")
+{
+    EndpointAdvisories advisories { HostId("front-1") };
+    CHECK(advisories.recordRetryAfter(kEngine, 8, 2s, at(0ms)));
+    CHECK_FALSE(advisories.recordRetryAfter(kEngine, 8, 500ms, at(100ms)));
+    std::vector<std::chrono::milliseconds> sends;
+    for (auto time = 0ms; time < 3s; time += 1ms) {
+        const auto next = advisories.nextAdmission(kEngine, RequestSize::Small, at(time));
+        REQUIRE(next);
+        CHECK((*next <= at(time)) == advisories.admits(kEngine, RequestSize::Small, at(time)));
+        if (advisories.admits(kEngine, RequestSize::Small, at(time))) {
+            advisories.recordSend(kEngine, at(time));
+            sends.push_back(time);
+        }
+    }
+    const auto countBefore = [&sends](auto time) { return std::count_if(sends.begin(), sends.end(), [time](auto send) { return send < time; }); };
+    CHECK(countBefore(2s) == 0);
+    CHECK(countBefore(2250ms) == 3);
+    CHECK(countBefore(2500ms) == 9);
+    CHECK(countBefore(2750ms) == 21);
+    for (int i = 0; i < 50; ++i)
+        CHECK(advisories.admits(kEngine, RequestSize::Small, at(3501ms)));
+}
--- a/tests/gateway/weights_rollout.test.cpp
+++ b/tests/gateway/weights_rollout.test.cpp
@@ -207,3 +207,14 @@
     CHECK(rollout.takeDue(registry, advisories, at(1ms)).empty());
     CHECK(rollout.takeDue(registry, kNoAdvice, at(1ms)).size() == 1);
 }
+
+TEST_CASE("an engine that wants nothing for some time gets its order after that [weights]")
+{
+    const auto registry = registryOf(1);
+    auto rollout = leaderSince(at(0ms), {});
+    rollout.setTarget(kModel, WeightsVersion(2), at(0ms));
+    EndpointAdvisories advisories { HostId("front-1") };
+    advisories.recordRetryAfter(instanceOf(registry.entries().begin()->second), 8, 2s, at(0ms));
+    CHECK(rollout.takeDue(registry, advisories, at(1999ms)).empty());
+    CHECK(rollout.takeDue(registry, advisories, at(2001ms)).size() == 1);
+}
--- a/tests/platform/gateway_fleet.hpp
+++ b/tests/platform/gateway_fleet.hpp
@@ -40,6 +40,8 @@
             HttpFields fields;
             if (status == 503)
                 fields.add("X-Hornbeamgate-Not-Executed", "1");
+            if (!engine.retryAfter.empty())
+                fields.add("Retry-After", engine.retryAfter);
             if (engine.isLeaving)
                 fields.add("Server-Leaving", "1");
             fields.add("X-Hornbeamgate-Request-Id", *message.head.fields.find("X-Hornbeamgate-Request-Id"));
@@ -56,14 +58,15 @@
         HttpRequestMessage message;
     };
 
-    /// The most arrivals in any span of four seconds.
-    std::size_t mostInFourSeconds() const
+    std::size_t mostInFourSeconds() const { return mostWithin(4s); }
+    /// The most arrivals in any span of `time`.
+    std::size_t mostWithin(std::chrono::milliseconds time) const
     {
         std::size_t most = 0;
         std::deque<MonotonicTime> window;
         for (const auto arrival : arrivals) {
             window.push_back(arrival);
-            while (window.front() + 4s <= arrival)
+            while (window.front() + time <= arrival)
                 window.pop_front();
             most = std::max(most, window.size());
         }
@@ -78,6 +81,7 @@
     bool isSigned = true;
     std::string limit; ///< the value of the header; empty for none
     bool isLeaving = false;
+    std::string retryAfter; ///< the value of the header; empty for none
     std::vector<MonotonicTime> arrivals;
     std::unique_ptr<HttpAcceptor> acceptor;
 };
--- a/tests/platform/wire_format.test.cpp
+++ b/tests/platform/wire_format.test.cpp
@@ -183,3 +183,27 @@
         CHECK(decode(text).unreadableAdvice == "Server-Leaving: " + std::string(text));
     }
 }
+
+TEST_CASE("the time for which an engine wants nothing is decoded from a 503 alone, in seconds with fractions [platform]")
+{
+    const platform::PlatformWireFormat wire;
+    const auto decode = [&wire](const std::vector<std::string>& values, int status = 503) {
+        HttpResponseHead head { status, {} };
+        for (const auto& value : values)
+            head.fields.add("Retry-After", value);
+        return wire.decodeResponse(head);
+    };
+    CHECK(decode({ "2" }).advice.retryAfter == 2s);
+    CHECK(decode({ "0.25" }).advice.retryAfter == 250ms);
+    CHECK(decode({ "0" }).advice.retryAfter == 0ms);
+    CHECK(decode({ "1", "3", "2" }).advice.retryAfter == 3s);
+    CHECK(decode({ "99999999999999999999" }).advice.retryAfter == 1h);
+    CHECK_FALSE(decode({}).advice.retryAfter);
+    CHECK_FALSE(decode({ "2" }, 200).advice.retryAfter);
+    CHECK_FALSE(decode({ "2" }, 429).advice.retryAfter);
+    for (const auto* text : { "", "-1", "soon", "nan", "inf", "Sat, 05 Dec 2026 02:10:25 GMT" }) {
+        CAPTURE(text);
+        CHECK_FALSE(decode({ text }).advice.retryAfter);
+        CHECK(decode({ text }).unreadableAdvice == "Retry-After: " + std::string(text));
+    }
+}
