Select the daemons that share a limit without sorting all of them, and judge a repeated request's wait anew

From reading the change. The selection hashed each daemon's name in every comparison of a sort, for each limited engine at each change of the fleet: some 2 million hashes at 680 engines and 360 daemons, worked out. Each name is hashed once now, and only the selected ones are separated; the same daemons are selected (tests unchanged). A request that had waited for a limit kept that wait when it was sent again, and could be refused with the wrong reason; it is reset with each send.

--- a/src/hornbeamgate/gateway/endpoint_advisories.cpp
+++ b/src/hornbeamgate/gateway/endpoint_advisories.cpp
@@ -144,14 +144,19 @@
 
 void EndpointAdvisories::selectDaemons(State& state, const EndpointId& id) const
 {
-    state.daemons = m_others;
-    state.daemons.push_back(m_self);
+    const auto key = stableHash(id.value());
+    std::vector<std::pair<std::uint64_t, const HostId*>> candidates { { rendezvousScore(m_self.value(), key), &m_self } };
+    for (const auto& other : m_others)
+        candidates.emplace_back(rendezvousScore(other.value(), key), &other);
     const double most = std::floor(kMinDaemons + kDaemonsPerRate * *state.limit);
-    if (static_cast<double>(state.daemons.size()) > most) {
-        const auto key = stableHash(id.value());
-        std::sort(state.daemons.begin(), state.daemons.end(), [key](const HostId& left, const HostId& right) { return rendezvousScore(left.value(), key) > rendezvousScore(right.value(), key); });
-        state.daemons.resize(static_cast<std::size_t>(most));
+    if (static_cast<double>(candidates.size()) > most) {
+        const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(most);
+        std::nth_element(candidates.begin(), end, candidates.end(), [](const auto& left, const auto& right) { return left.first > right.first; });
+        candidates.erase(end, candidates.end());
     }
+    state.daemons.clear();
+    for (const auto& [score, daemon] : candidates)
+        state.daemons.push_back(*daemon);
     state.hasShare = std::find(state.daemons.begin(), state.daemons.end(), m_self) != state.daemons.end();
 }
 
--- a/src/hornbeamgate/gateway/endpoint_advisories.hpp
+++ b/src/hornbeamgate/gateway/endpoint_advisories.hpp
@@ -140,7 +140,7 @@
         MonotonicTime namedAt {}; ///< last time the endpoint named a limit
         MonotonicTime unlimitedAt {}; ///< the endpoint answered a request sent at this time without a limit
         std::optional<MonotonicTime> readAt; ///< time of the last change that was read in a response
-        std::vector<HostId> daemons; ///< that share the limit, sorted
+        std::vector<HostId> daemons; ///< that share the limit
         bool hasShare = false;
         SharedTokenBucket share { 0, 0, MonotonicTime() };
     };
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -162,6 +162,7 @@
 
 void GatewayRequest::sendOrQueue()
 {
+    m_admissionWait.reset();
     if (!trySend())
         waitForCapacity();
 }
