--- a/tests/gateway/advised_limits_fleet.test.cpp
+++ b/tests/gateway/advised_limits_fleet.test.cpp
@@ -32,7 +32,7 @@
 /// Plays daemons that send requests to engines with limits and report to each other, with delays and losses.
 class LimitFleet {
 public:
-    LimitFleet(Traffic traffic, std::vector<double> limits, std::uint64_t seed)
+    LimitFleet(Traffic traffic, const std::vector<double>& limits, std::uint64_t seed)
         : m_traffic(std::move(traffic))
         , m_random(seed)
     {
@@ -226,9 +226,9 @@
         traffic.reportLoss = *rc::gen::element(0.0, 0.05, 0.3);
         traffic.quietUntil = *rc::gen::element(0ms, 7000ms);
         std::vector<double> limits;
-        const int engines = *rc::gen::inRange(1, 4);
-        for (int i = 0; i < engines; ++i)
-            limits.push_back(*rc::gen::element(0.0, 0.3, 1.0, 3.8, 9.2, 40.0));
+        limits.resize(*rc::gen::inRange<std::size_t>(1, 4));
+        for (auto& limit : limits)
+            limit = *rc::gen::element(0.0, 0.3, 1.0, 3.8, 9.2, 40.0);
         LimitFleet fleet(traffic, limits, *rc::gen::arbitrary<std::uint64_t>());
         // A limit that is lifted for a moment may let requests through.
         fleet.run(14s, 20s);
@@ -238,7 +238,7 @@
 
 TEST_CASE("large requests that all come at once keep to the limit [limits]")
 {
-    for (const std::size_t size : { 5, 20, 68 }) {
+    for (const std::size_t size : { std::size_t { 5 }, std::size_t { 20 }, std::size_t { 68 } }) {
         CAPTURE(size);
         auto traffic = uniformTraffic(size, 2000);
         traffic.largeShare = 1;
@@ -262,7 +262,7 @@
 
 TEST_CASE("an engine with a limit is used up to it by fleets of any size [limits]")
 {
-    for (const std::size_t size : { 1, 5, 20, 68 }) {
+    for (const std::size_t size : { std::size_t { 1 }, std::size_t { 5 }, std::size_t { 20 }, std::size_t { 68 } }) {
         CAPTURE(size);
         LimitFleet fleet(uniformTraffic(size, 200), { 6, 9 }, 2);
         fleet.run(20s, 30s);
--- a/tests/gateway/endpoint_advisories.test.cpp
+++ b/tests/gateway/endpoint_advisories.test.cpp
@@ -129,6 +129,7 @@
 TEST_CASE("few daemons share a low limit, and all of them select the same ones [advisories]")
 {
     std::vector<HostId> hosts;
+    hosts.reserve(40);
     for (int i = 0; i < 40; ++i)
         hosts.emplace_back("front-" + std::to_string(i));
     int shares = 0;
--- a/tests/platform/gateway_fleet.hpp
+++ b/tests/platform/gateway_fleet.hpp
@@ -36,9 +36,8 @@
         void start() override
         {
             engine.arrivals.push_back(MonotonicClock::now());
-            const int status = engine.status;
             HttpFields fields;
-            if (status == 503)
+            if (engine.status == 503)
                 fields.add("X-Hornbeamgate-Not-Executed", "1");
             if (!engine.retryAfter.empty())
                 fields.add("Retry-After", engine.retryAfter);
@@ -49,7 +48,7 @@
                 fields.add("X-Hornbeamgate-Server-Signature", "s");
             if (!engine.limit.empty())
                 fields.add("Server-Limit", engine.limit);
-            connection.answer(status, std::move(fields), "ok");
+            connection.answer(engine.status, std::move(fields), "ok");
         }
         void clientDisconnected() override { }
 
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -94,7 +94,10 @@
             std::string body = bigEndian(records.size(), 8) + bigEndian(0, 8);
             for (std::size_t i = from; i < records.size(); ++i) {
                 const auto& [key, value] = records[i];
-                body += bigEndian(1 + key.size() + value.size(), 4) + bigEndian(key.size(), 1) + key + value;
+                body += bigEndian(1 + key.size() + value.size(), 4);
+                body += bigEndian(key.size(), 1);
+                body += key;
+                body += value;
             }
             answer(200, body);
         }
