Read the headers of an engine's advice in one place, and let waiting requests go first after a pause too

From reading the change: three loops over the same header fields had the same shape; one decodes a number and says which of several holds. A new request could take the place of waiting ones at an engine that resumes after a pause, as only limits were looked at; both kinds of engines that take only so many requests are now treated alike, and the reason of such refusals names both. The log names the header as the platform spells it.

--- a/src/hornbeamgate/gateway/placement.hpp
+++ b/src/hornbeamgate/gateway/placement.hpp
@@ -64,7 +64,7 @@
     bool hasRoom = true; ///< false for a long prompt if the endpoint's prefill backlog is full
     PlacementRefusal refusal = PlacementRefusal::NoEndpoint;
     std::chrono::milliseconds expectedWait {}; ///< until the first response of the best endpoint, or until one admits a request
-    double admissionRate = 0; ///< requests per second that the endpoints at their limits admit from this daemon
+    double admissionRate = 0; ///< requests per second that the endpoints which admit none now take from this daemon
 };
 
 /// Chooses endpoints by the expected time to the first response.
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -41,7 +41,7 @@
     constexpr milliseconds kDefaultRetryAfter { 400 };
     /// Longer than the deadline of any request; an expected wait is cut to it.
     constexpr std::chrono::duration<double> kMaxAdmissionWait { 3600 };
-    constexpr std::string_view kAtLimitReason = "all endpoints are at the limits that they named";
+    constexpr std::string_view kNotAdmittedReason = "no endpoint takes more requests now";
     /// Maximum retry time for requests whose prompts are quarantined.
     constexpr milliseconds kMaxQuarantineRetryAfter { 10000 };
     /// Number of route priority levels; a workspace's priority takes precedence over the route's.
@@ -188,7 +188,7 @@
 
 void GatewayRequest::refuseForCapacity(milliseconds wait)
 {
-    refuse({ m_mayHaveExecuted ? kBadGateway : kUnavailable, m_admissionWait ? kAtLimitReason : "no engine has room in time", addRetryJitter(wait) });
+    refuse({ m_mayHaveExecuted ? kBadGateway : kUnavailable, m_admissionWait ? kNotAdmittedReason : "no engine has room in time", addRetryJitter(wait) });
 }
 
 bool GatewayRequest::trySend()
@@ -228,7 +228,7 @@
 
 bool GatewayRequest::wouldOvertake(const EndpointEntry& endpoint)
 {
-    return !m_queueTicket.isHeld() && m_state.advisories.limitOf(instanceOf(endpoint))
+    return !m_queueTicket.isHeld() && m_state.advisories.admissionRate(instanceOf(endpoint), MonotonicClock::now()) > 0
         && m_state.queueOf(m_service).hasWaiters(PromptQueueDispatcher::Reason::Admission);
 }
 
@@ -252,7 +252,7 @@
         return;
     }
     if (placement.refusal == PlacementRefusal::AtLimit) {
-        refuse({ kUnavailable, kAtLimitReason, addRetryJitter(kDefaultRetryAfter) });
+        refuse({ kUnavailable, kNotAdmittedReason, addRetryJitter(kDefaultRetryAfter) });
         return;
     }
     const bool isBusy = placement.refusal == PlacementRefusal::AllBusy;
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -41,7 +41,7 @@
     void resend(std::string_view cause);
     /// Sends the request to an endpoint that has capacity. Returns false if the request has to wait.
     bool trySend();
-    /// Estimates how long the request has to wait until an endpoint that has named a limit admits it.
+    /// Estimates how long the request has to wait until an endpoint admits it that takes only so many requests.
     void awaitAdmission(const Placement& placement);
     /// Returns whether the request would take a limited endpoint's admission from requests that already wait for one.
     bool wouldOvertake(const EndpointEntry& endpoint);
@@ -112,7 +112,7 @@
     bool m_hasBegunResponse = false;
     bool m_isFinished = false;
 
-    std::optional<Duration> m_admissionWait; ///< expected when the request last found the endpoints at their limits
+    std::optional<Duration> m_admissionWait; ///< expected when no endpoint admitted the request
     PromptQueueDispatcher::Ticket m_queueTicket; ///< held while the request waits for capacity
     EndpointId m_endpoint;
     Incarnation m_incarnation; ///< of the endpoint
--- a/src/hornbeamgate/runtime/net/http_message.cpp
+++ b/src/hornbeamgate/runtime/net/http_message.cpp
@@ -69,6 +69,16 @@
     return std::nullopt;
 }
 
+std::vector<std::string_view> HttpFields::findAll(std::string_view name) const
+{
+    std::vector<std::string_view> values;
+    for (const auto& field : m_fields) {
+        if (equalsIgnoringCase(field.name, name))
+            values.emplace_back(field.value);
+    }
+    return values;
+}
+
 std::size_t HttpFields::count(std::string_view name) const
 {
     return static_cast<std::size_t>(std::count_if(m_fields.begin(), m_fields.end(),
--- a/src/hornbeamgate/runtime/net/http_message.hpp
+++ b/src/hornbeamgate/runtime/net/http_message.hpp
@@ -23,6 +23,8 @@
     void remove(std::string_view name);
     /// Value of the first field called `name`.
     std::optional<std::string_view> find(std::string_view name) const;
+    /// Values of all fields called `name`, in their order.
+    std::vector<std::string_view> findAll(std::string_view name) const;
     std::size_t count(std::string_view name) const;
     /// Whether a comma-separated list in the fields called `name` contains `token`, ignoring case.
     bool listContains(std::string_view name, std::string_view token) const;
--- a/tests/platform/wire_format.test.cpp
+++ b/tests/platform/wire_format.test.cpp
@@ -163,7 +163,7 @@
     for (const auto* text : { "", "-1", "nan", "inf", "4/s", "1e3", " 4", "Sat, 05 Dec 2026 02:10:25 GMT" }) {
         CAPTURE(text);
         CHECK_FALSE(decode({ text }).advice.requestsPerSecond);
-        CHECK(decode({ text }).unreadableAdvice == "server-limit: " + std::string(text));
+        CHECK(decode({ text }).unreadableAdvice == "Server-Limit: " + std::string(text));
     }
     CHECK(decode({ std::string(5000, '9') + "x" }).unreadableAdvice.size() < 100);
 }
