Keep the second copies within the site's limits, and end gateways with their test

Cause: the engine of case 2 sent a share of 0.03 of all its answers twice, all the time; the site has 0.03 at 0.6 of the engines, for 5 s at a time. A test program that was killed left its gateways running.

Done: 0.018 of the answers, in spans of 5 s, with more clients; the gateways get SIGKILL when their parent ends, and the scripts hand signals on.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -14,14 +14,17 @@
 namespace {
 
 constexpr std::size_t kGateways = 3;
-constexpr std::size_t kClientsPerGateway = 8;
+constexpr std::size_t kClientsPerGateway = 16;
 constexpr milliseconds kRoundInterval { 100 };
 constexpr milliseconds kVersionInterval { 6'000 };
-constexpr int kVersions = 14;
+constexpr int kVersions = 15;
 constexpr milliseconds kLoadTime { 830 };
 constexpr milliseconds kHeartbeat { 1'200 };
 constexpr milliseconds kRunTime { 10 };
-constexpr double kExtraShare = 0.03;
+/// The site's share of answers, 0.03, at its share of engines, 0.6.
+constexpr double kExtraShare = 0.03 * 0.6;
+/// Time for which the engine is faulty, from the naming of each version.
+constexpr milliseconds kExtraTime { 5'000 };
 constexpr unsigned kSeed = 34;
 constexpr milliseconds kDeadline { 4'000 };
 
@@ -62,6 +65,12 @@
         const std::lock_guard lock(m_mutex);
         return m_runs.contains(id);
     }
+    /// Sends a share of the answers twice for a while.
+    void spoil()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_spoiledUntil = Clock::now() + kExtraTime;
+    }
     int extras() const { return m_extras; }
     int answers() const { return m_answers; }
     int mismatches() const { return m_mismatches; }
@@ -106,9 +115,7 @@
             else {
                 text = run(*request, extra);
                 ++m_answers;
-                std::string late;
-                if (draw() < m_extraShare)
-                    late = text;
+                const auto late = drawExtra() ? text : std::string();
                 if (!extra.empty() && !connection.send(extra))
                     return;
                 if (!connection.send(text))
@@ -174,12 +181,12 @@
         return formatMessage("HTTP/1.1 200 OK", fields, "id: 0\ndata: a\n\nid: 1\ndata: b\n\n");
     }
 
-    double draw()
+    bool drawExtra()
     {
         const std::lock_guard lock(m_mutex);
-        const bool isExtra = m_draws(m_random) < m_extraShare;
+        const bool isExtra = Clock::now() < m_spoiledUntil && m_draws(m_random) < m_extraShare;
         m_extras += isExtra;
-        return isExtra ? 0 : 1;
+        return isExtra;
     }
 
     Store& m_store;
@@ -195,6 +202,7 @@
     std::uint64_t m_sequence = 0;
     std::atomic<std::uint64_t> m_weights = 1;
     Clock::time_point m_loadedAt;
+    Clock::time_point m_spoiledUntil;
     std::atomic<int> m_extras = 0;
     std::atomic<int> m_answers = 0;
     std::atomic<int> m_mismatches = 0;
@@ -272,6 +280,7 @@
     for (int version = 2; version < 2 + kVersions; ++version) {
         store.put("keyed.op", "version/daka510000", json({ { "model", "daka510000" }, { "version", version } }).dump());
         record.write("the store has acknowledged version " + std::to_string(version) + " of daka510000");
+        engine.spoil();
         pause(kVersionInterval);
     }
     isOver = true;
--- a/review/common/run_case.sh
+++ b/review/common/run_case.sh
@@ -10,7 +10,10 @@
 fi
 scratch="$(mktemp -d)"
 trap 'rm -rf "$scratch"' EXIT
-timeout --kill-after=5 110 "$program" "$scratch" "$case_folder"
+timeout --kill-after=5 110 "$program" "$scratch" "$case_folder" &
+child=$!
+trap 'kill "$child"' INT TERM
+wait "$child"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/common/testbed.cpp
+++ b/review/common/testbed.cpp
@@ -15,6 +15,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -505,6 +506,8 @@
     m_pid = fork();
     if (m_pid != 0)
         return;
+    // The daemon must not outlive this program, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
