Share the hash of several parts

The hash over length-prefixed parts that makes booking ids was private to bookings. Cache domains need the same one, so it moves to base/digest, with the hexadecimal form that two other files wrote again.

--- a/src/hornbeamgate/bookings/booking_key.cpp
+++ b/src/hornbeamgate/bookings/booking_key.cpp
@@ -1,9 +1,8 @@
 #include "hornbeamgate/bookings/booking_key.hpp"
 
+#include "hornbeamgate/base/digest.hpp"
 #include "hornbeamgate/base/hash.hpp"
 
-#include <sodium.h>
-
 #include <algorithm>
 #include <charconv>
 
@@ -11,44 +10,12 @@
 
 namespace {
 
+    constexpr std::size_t kFingerprintHashBytes = 16;
     constexpr char kPositionPrefix = 'p';
     constexpr char kPositionSeparator = '-';
 
     bool isVisibleAscii(char character) { return character > ' ' && character < '\x7f'; }
 
-    /// BLAKE2b over length-prefixed parts; the prefixes ensure that different lists of parts are different hash inputs.
-    class LengthPrefixedHash {
-    public:
-        explicit LengthPrefixedHash(std::size_t size)
-        {
-            crypto_generichash_init(&m_state, nullptr, 0, size);
-        }
-
-        void add(BytesView part)
-        {
-            const std::uint64_t size = part.size();
-            std::array<std::uint8_t, sizeof(size)> prefix {};
-            for (std::size_t i = 0; i < prefix.size(); ++i)
-                prefix[i] = static_cast<std::uint8_t>(size >> (8 * i));
-            crypto_generichash_update(&m_state, prefix.data(), prefix.size());
-            crypto_generichash_update(&m_state, part.data(), part.size());
-        }
-
-        void add(std::string_view part)
-        {
-            const Bytes octets(part.begin(), part.end());
-            add(BytesView(octets));
-        }
-
-        void finish(std::span<std::uint8_t> digest)
-        {
-            crypto_generichash_final(&m_state, digest.data(), digest.size());
-        }
-
-    private:
-        crypto_generichash_state m_state {};
-    };
-
 } // namespace
 
 Result<IdempotencyKey, IdempotencyKeyError> IdempotencyKey::parse(std::string_view text)
@@ -78,22 +45,14 @@
 BookingId makeBookingId(const WorkspaceId& workspace, const ServiceId& service, const IdempotencyKey& key)
 {
     BookingId id;
-    LengthPrefixedHash hash(id.digest.size());
-    hash.add(std::string_view(workspace.value()));
-    hash.add(std::string_view(service.value()));
-    hash.add(std::string_view(key.text));
-    hash.finish(id.digest);
+    hashParts({ workspace.value(), service.value(), key.text }, id.digest);
     return id;
 }
 
 RequestFingerprint computeRequestFingerprint(std::string_view method, std::string_view path, BytesView body)
 {
-    std::array<std::uint8_t, crypto_generichash_BYTES_MIN> digest {};
-    LengthPrefixedHash hash(digest.size());
-    hash.add(method);
-    hash.add(path);
-    hash.add(body);
-    hash.finish(digest);
+    std::array<std::uint8_t, kFingerprintHashBytes> digest {};
+    hashParts({ method, path, { reinterpret_cast<const char*>(body.data()), body.size() } }, digest);
     std::uint64_t value = 0;
     for (std::size_t i = 0; i < sizeof(value); ++i)
         value |= static_cast<std::uint64_t>(digest[i]) << (8 * i);
--- a/src/hornbeamgate/keys/key_hash.cpp
+++ b/src/hornbeamgate/keys/key_hash.cpp
@@ -1,5 +1,7 @@
 #include "hornbeamgate/keys/key_hash.hpp"
 
+#include "hornbeamgate/base/digest.hpp"
+
 #include <sodium.h>
 
 namespace hornbeamgate {
@@ -24,9 +26,7 @@
 
 std::string KeyHash::toHex() const
 {
-    std::array<char, kKeyHashBytes * 2 + 1> digits;
-    sodium_bin2hex(digits.data(), digits.size(), m_octets.data(), m_octets.size());
-    return { digits.data(), digits.size() - 1 };
+    return hornbeamgate::toHex(m_octets);
 }
 
 bool KeyHash::operator==(const KeyHash& other) const
--- a/src/programs/hornbeamctl_commands.cpp
+++ b/src/programs/hornbeamctl_commands.cpp
@@ -4,6 +4,7 @@
 #include "hornbeamctl_options.hpp"
 #include "hornbeamctl_report.hpp"
 
+#include "hornbeamgate/base/digest.hpp"
 #include "hornbeamgate/config/rules_parser.hpp"
 #include "hornbeamgate/config/rules_writer.hpp"
 #include "hornbeamgate/keys/key_hash.hpp"
@@ -28,10 +29,7 @@
     {
         Bytes octets(bytes);
         randombytes_buf(octets.data(), octets.size());
-        std::string digits(bytes * 2 + 1, '\0');
-        sodium_bin2hex(digits.data(), digits.size(), octets.data(), octets.size());
-        digits.pop_back();
-        return digits;
+        return toHex(octets);
     }
 
     std::optional<std::string> readFile(const std::string& path)
