Give the fixture of the gateway's request tests a header

More test files need a gateway with one caller and two scripted endpoints. All tests of requests.test.cpp are unchanged and pass.

--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -1,10 +1,4 @@
-#include "hornbeamgate/runtime/gateway/gateway_request.hpp"
-
-#include "hornbeamgate/runtime/net/http_acceptor.hpp"
-#include "net/scripted_server.hpp"
-#include "platform_wire_format.hpp"
-
-#include <doctest/doctest.h>
+#include "platform/gateway_fixture.hpp"
 
 #include <thread>
 
@@ -17,124 +11,6 @@
 
 namespace {
 
-RouteRule route(const std::string& name)
-{
-    RouteRule made;
-    made.name = name;
-    made.authority = "h.example";
-    made.pathPrefix = '/' + name + '/';
-    made.services = { { ServiceId("s"), 1 } };
-    made.timeout = 5000ms;
-    made.latencyObjective = 4000ms;
-    made.maxEndpoints = 2;
-    return made;
-}
-
-FleetConfig config()
-{
-    FleetConfig made;
-    made.version = ConfigVersion(1);
-    auto booking = route("booking");
-    booking.maxEndpoints = 1;
-    auto read = route("read");
-    read.isIdempotent = true;
-    auto stream = route("stream");
-    stream.isStreaming = true;
-    stream.isResumable = true;
-    auto once = route("once");
-    once.isStreaming = true;
-    auto shortObjective = stream;
-    shortObjective.name = "hasty";
-    shortObjective.pathPrefix = "/hasty/";
-    shortObjective.latencyObjective = 50ms;
-    auto overdue = read;
-    overdue.name = "overdue";
-    overdue.pathPrefix = "/overdue/";
-    overdue.latencyObjective = 500ms;
-    overdue.maxEndpoints = 3;
-    auto shortTimeout = route("brief");
-    shortTimeout.timeout = 80ms;
-    made.routes = { booking, read, stream, once, shortObjective, overdue, shortTimeout };
-    WorkspaceRule workspace;
-    workspace.id = WorkspaceId("w");
-    workspace.keys = { "key" };
-    made.workspaces = { workspace };
-    return made;
-}
-
-/// Gateway with one caller and two endpoints.
-struct GatewayFixture {
-    GatewayFixture()
-    {
-        auto created = HttpAcceptor::create({ "127.0.0.1", 0 }, { [this](HttpServerConnection& connection, HttpRequestMessage message) -> std::unique_ptr<HttpRequestHandler> {
-                                                                     return std::make_unique<GatewayRequest>(state, connection, std::move(message));
-                                                                 },
-                                                                    {}, {} });
-        REQUIRE(created);
-        gateway = std::move(*created);
-        state.routes = std::make_shared<const RouteTable>(config());
-        addEndpoint("e1", first.address());
-    }
-
-    void addEndpoint(const std::string& id, const SocketAddress& address)
-    {
-        EndpointEntry entry;
-        entry.id = EndpointId(id);
-        entry.service = ServiceId("s");
-        entry.address = address;
-        entry.slots = 8;
-        state.registry.put(entry);
-    }
-
-    /// Adds the second endpoint, which is used only after the first one.
-    void addFallback()
-    {
-        addEndpoint("e2", second.address());
-        state.loads.pauseUntil(EndpointId("e2"), MonotonicClock::now() + 1h);
-    }
-
-    void request(const std::string& target, const std::string& extra = "Authorization: Bearer key\r\n")
-    {
-        auto connected = TcpStream::connect(gateway->address(), MonotonicClock::now() + 5s);
-        REQUIRE(connected);
-        caller = std::move(*connected);
-        received.clear();
-        hasEnded = false;
-        caller->setHandlers({ {}, [this](std::string_view bytes) { received += bytes; }, [this](StreamEnd, const std::string&) { hasEnded = true; } });
-        caller->send("POST " + target + " HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamgate-Request-Id: r1\r\n" + extra + "Content-Length: 2\r\n\r\nhi");
-    }
-
-    void waitFor(const std::string& text)
-    {
-        REQUIRE(runUntil([&] { return received.find(text) != std::string::npos; }));
-    }
-    bool has(const std::string& text) const { return received.find(text) != std::string::npos; }
-
-    static GatewaySettings makeSettings()
-    {
-        GatewaySettings made;
-        made.retries = { 1.0, 100, 10s };
-        made.leaderLease = 3s;
-        made.weightsBound = 10s;
-        return made;
-    }
-
-    GatewaySettings settings = makeSettings();
-    platform::PlatformWireFormat wire;
-    GatewayState state { settings, wire };
-    ScriptedServer first;
-    ScriptedServer second;
-    std::unique_ptr<HttpAcceptor> gateway;
-    std::unique_ptr<TcpStream> caller;
-    std::string received;
-    bool hasEnded = false;
-};
-
-std::string head(int status, const std::string& extra)
-{
-    return "HTTP/1.1 " + std::to_string(status) + " x\r\nX-Hornbeamgate-Request-Id: r1\r\n" + extra;
-}
-
 /// Long enough that two crashes cannot be one outage.
 constexpr std::chrono::milliseconds kCrashInterval { 520 };
 /// Header fields of a prompt that waits for capacity.
@@ -169,7 +45,7 @@
     CHECK(fixture.first.received(0).find("POST /booking/a?q=1 HTTP/1.1\r\n") == 0);
     CHECK(fixture.first.received(0).find("X-Hornbeamgate-Tenant: w\r\n") != std::string::npos);
     CHECK(fixture.first.received(0).find("Bearer") == std::string::npos);
-    fixture.first.send(0, head(201, std::string(kSigned) + "Content-Length: 4\r\n\r\nbody"));
+    fixture.first.send(0, responseHead(201, std::string(kSigned) + "Content-Length: 4\r\n\r\nbody"));
     fixture.waitFor("\r\n\r\nbody");
     CHECK(fixture.has("HTTP/1.1 201 "));
     CHECK(fixture.has("X-Hornbeamgate-Server-Signature: sig"));
@@ -219,7 +95,7 @@
     GatewayFixture fixture;
     fixture.request("/booking/a");
     fixture.first.waitFor(0, "hi");
-    fixture.first.send(0, head(503, std::string(kNotExecuted) + kEmpty));
+    fixture.first.send(0, responseHead(503, std::string(kNotExecuted) + kEmpty));
     fixture.waitFor("HTTP/1.1 503");
     CHECK(fixture.has("Retry-After: "));
 }
@@ -231,7 +107,7 @@
         GatewayFixture fixture;
         fixture.request("/booking/a");
         fixture.first.waitFor(0, "hi");
-        fixture.first.send(0, head(status, std::string(kSigned) + kEmpty));
+        fixture.first.send(0, responseHead(status, std::string(kSigned) + kEmpty));
         fixture.waitFor("HTTP/1.1 502");
     }
 }
@@ -244,7 +120,7 @@
     fixture.first.waitFor(0, "hi");
     fixture.first.drop(0);
     fixture.second.waitFor(0, "hi");
-    fixture.second.send(0, head(200, std::string(kSigned) + "Content-Length: 2\r\n\r\nok"));
+    fixture.second.send(0, responseHead(200, std::string(kSigned) + "Content-Length: 2\r\n\r\nok"));
     fixture.waitFor("\r\n\r\nok");
     GatewayFixture refused;
     refused.addFallback();
@@ -252,14 +128,14 @@
     refused.first.waitFor(0, "hi");
     refused.first.drop(0);
     refused.second.waitFor(0, "hi");
-    refused.second.send(0, head(503, std::string(kNotExecuted) + kEmpty));
+    refused.second.send(0, responseHead(503, std::string(kNotExecuted) + kEmpty));
     // The first endpoint may have executed the request, so 503 would be wrong.
     refused.waitFor("HTTP/1.1 502");
 }
 
 TEST_CASE("a success response with a missing signature or a truncated body becomes 502 [request]")
 {
-    for (const auto& bytes : { head(200, "Content-Length: 2\r\n\r\nok"), head(200, std::string(kSigned) + "Content-Length: 9\r\n\r\nok") }) {
+    for (const auto& bytes : { responseHead(200, "Content-Length: 2\r\n\r\nok"), responseHead(200, std::string(kSigned) + "Content-Length: 9\r\n\r\nok") }) {
         GatewayFixture fixture;
         fixture.request("/booking/a");
         fixture.first.waitFor(0, "hi");
@@ -277,7 +153,7 @@
         std::string target;
         std::string start;
     };
-    for (const auto& example : { Case { "/booking/a", head(200, "\r\n") }, Case { "/booking/a", head(500, std::string(kSigned) + "\r\n") }, Case { "/once/a", head(200, std::string(kSigned) + "\r\n") } }) {
+    for (const auto& example : { Case { "/booking/a", responseHead(200, "\r\n") }, Case { "/booking/a", responseHead(500, std::string(kSigned) + "\r\n") }, Case { "/once/a", responseHead(200, std::string(kSigned) + "\r\n") } }) {
         CAPTURE(example.start);
         GatewayFixture fixture;
         fixture.request(example.target);
@@ -295,7 +171,7 @@
     fixture.request("/read/a");
     fixture.caller->pauseReading(true);
     fixture.first.waitFor(0, "hi");
-    fixture.first.send(0, head(200, std::string(kSigned) + "\r\n"));
+    fixture.first.send(0, responseHead(200, std::string(kSigned) + "\r\n"));
     // More than the socket buffers of both connections hold.
     constexpr std::size_t kBodyBytes = 67108864;
     fixture.first.send(0, std::string(kBodyBytes, 'x'));
@@ -311,7 +187,7 @@
     GatewayFixture fixture;
     fixture.request("/once/a");
     fixture.first.waitFor(0, "hi");
-    fixture.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1) + "id: 2\n"));
+    fixture.first.send(0, responseHead(200, std::string(kSigned) + kChunked) + chunkText(event(1) + "id: 2\n"));
     fixture.waitFor(event(1));
     CHECK_FALSE(fixture.has("id: 2"));
     fixture.first.send(0, chunkText("data: p\n\n"));
@@ -326,24 +202,24 @@
     fixture.addFallback();
     fixture.request("/stream/a");
     fixture.first.waitFor(0, "hi");
-    fixture.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1) + event(2) + "id: 3\nda"));
+    fixture.first.send(0, responseHead(200, std::string(kSigned) + kChunked) + chunkText(event(1) + event(2) + "id: 3\nda"));
     fixture.waitFor(event(2));
     fixture.first.drop(0);
     fixture.second.waitFor(0, "hi");
     CHECK(fixture.second.received(0).find("Last-Event-Id: 2\r\n") != std::string::npos);
-    fixture.second.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(3)) + std::string(kLastChunk));
+    fixture.second.send(0, responseHead(200, std::string(kSigned) + kChunked) + chunkText(event(3)) + std::string(kLastChunk));
     fixture.waitFor("\r\n0\r\n\r\n");
     CHECK(fixture.has(event(3)));
 }
 
 TEST_CASE("a stream that cannot be resumed is aborted without a final chunk [request]")
 {
-    for (const auto& bytes : { head(503, std::string(kNotExecuted) + kEmpty), head(500, std::string(kSigned) + kEmpty), head(200, "Content-Length: 2\r\n\r\nok") }) {
+    for (const auto& bytes : { responseHead(503, std::string(kNotExecuted) + kEmpty), responseHead(500, std::string(kSigned) + kEmpty), responseHead(200, "Content-Length: 2\r\n\r\nok") }) {
         GatewayFixture fixture;
         fixture.addFallback();
         fixture.request("/stream/a");
         fixture.first.waitFor(0, "hi");
-        fixture.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1)));
+        fixture.first.send(0, responseHead(200, std::string(kSigned) + kChunked) + chunkText(event(1)));
         fixture.waitFor(event(1));
         fixture.first.drop(0);
         fixture.second.waitFor(0, "hi");
@@ -359,7 +235,7 @@
     cut.addFallback();
     cut.request("/once/a");
     cut.first.waitFor(0, "hi");
-    cut.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1)));
+    cut.first.send(0, responseHead(200, std::string(kSigned) + kChunked) + chunkText(event(1)));
     cut.waitFor(event(1));
     cut.first.drop(0);
     REQUIRE(runUntil([&] { return cut.hasEnded; }));
@@ -368,7 +244,7 @@
     GatewayFixture refused;
     refused.request("/once/a");
     refused.first.waitFor(0, "hi");
-    refused.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText("id: 1\n"));
+    refused.first.send(0, responseHead(200, std::string(kSigned) + kChunked) + chunkText("id: 1\n"));
     refused.first.drop(0);
     refused.waitFor("HTTP/1.1 502");
 }
@@ -379,12 +255,12 @@
     fixture.addFallback();
     fixture.request("/stream/a");
     fixture.first.waitFor(0, "hi");
-    fixture.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1)));
+    fixture.first.send(0, responseHead(200, std::string(kSigned) + kChunked) + chunkText(event(1)));
     fixture.waitFor(event(1));
     fixture.first.send(0, chunkText(event(2) + event(3) + event(5)));
     fixture.second.waitFor(0, "hi");
     CHECK(lastEventId(fixture.second.received(0)) == "1");
-    fixture.second.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(2) + event(3) + event(4)) + std::string(kLastChunk));
+    fixture.second.send(0, responseHead(200, std::string(kSigned) + kChunked) + chunkText(event(2) + event(3) + event(4)) + std::string(kLastChunk));
     fixture.waitFor("\r\n0\r\n\r\n");
     CHECK(fixture.has(event(2) + event(3) + event(4)));
 }
@@ -397,7 +273,7 @@
         fixture.addFallback();
         fixture.request(target);
         fixture.first.waitFor(0, "hi");
-        fixture.first.send(0, head(200, std::string(kSigned) + kUnframed) + event(1) + "id: 2\n");
+        fixture.first.send(0, responseHead(200, std::string(kSigned) + kUnframed) + event(1) + "id: 2\n");
         fixture.waitFor(event(1));
         CHECK_FALSE(fixture.has("id: 2"));
         fixture.first.send(0, "data: p\n\n");
@@ -420,10 +296,10 @@
             fixture.request("/stream/a");
             fixture.first.waitFor(0, "hi");
             const auto bytes = event(1) + event(2) + cut;
-            fixture.first.send(0, head(200, std::string(kSigned) + (isChunked ? kChunked + chunkText(bytes) + std::string(kLastChunk) : kUnframed + bytes)));
+            fixture.first.send(0, responseHead(200, std::string(kSigned) + (isChunked ? kChunked + chunkText(bytes) + std::string(kLastChunk) : kUnframed + bytes)));
             fixture.first.finish(0);
             fixture.second.waitFor(0, "Last-Event-Id: 2\r\n");
-            fixture.second.send(0, head(200, std::string(kSigned) + kUnframed) + event(3));
+            fixture.second.send(0, responseHead(200, std::string(kSigned) + kUnframed) + event(3));
             fixture.second.finish(0);
             fixture.waitFor("\r\n0\r\n\r\n");
             CHECK(fixture.received.find("id: 3") == fixture.received.find(event(3)));
@@ -438,11 +314,11 @@
     fixture.addFallback();
     fixture.request("/stream/a");
     fixture.first.waitFor(0, "hi");
-    fixture.first.send(0, head(200, std::string(kSigned) + kUnframed) + "id: 1\ndata: p\n");
+    fixture.first.send(0, responseHead(200, std::string(kSigned) + kUnframed) + "id: 1\ndata: p\n");
     fixture.first.finish(0);
     fixture.second.waitFor(0, "hi");
     CHECK(fixture.second.received(0).find("Last-Event-Id") == std::string::npos);
-    fixture.second.send(0, head(200, std::string(kSigned) + kUnframed) + event(1));
+    fixture.second.send(0, responseHead(200, std::string(kSigned) + kUnframed) + event(1));
     fixture.second.finish(0);
     fixture.waitFor("\r\n0\r\n\r\n");
     CHECK(fixture.received.find("id: 1") == fixture.received.rfind("id: 1"));
@@ -453,7 +329,7 @@
     for (const bool isChunked : { false, true }) {
         CAPTURE(isChunked);
         const auto stream = [&](const std::string& bytes) {
-            return head(200, std::string(kSigned) + (isChunked ? kChunked + chunkText(bytes) + std::string(kLastChunk) : kUnframed + bytes));
+            return responseHead(200, std::string(kSigned) + (isChunked ? kChunked + chunkText(bytes) + std::string(kLastChunk) : kUnframed + bytes));
         };
         GatewayFixture cut;
         cut.addFallback();
@@ -491,7 +367,7 @@
             fixture.addFallback();
             fixture.request("/stream/a");
             fixture.first.waitFor(0, "hi");
-            fixture.first.send(0, head(200, std::string(kSigned) + (isChunked ? kChunked + chunkText(bytes) + std::string(kLastChunk) : kUnframed + bytes)));
+            fixture.first.send(0, responseHead(200, std::string(kSigned) + (isChunked ? kChunked + chunkText(bytes) + std::string(kLastChunk) : kUnframed + bytes)));
             fixture.first.finish(0);
             fixture.waitFor("0\r\n\r\n");
             CHECK(fixture.has("HTTP/1.1 200 "));
@@ -508,10 +384,10 @@
         fixture.addFallback();
         fixture.request("/stream/a");
         fixture.first.waitFor(0, "hi");
-        fixture.first.send(0, head(200, std::string(kSigned) + kUnframed + bytes));
+        fixture.first.send(0, responseHead(200, std::string(kSigned) + kUnframed + bytes));
         fixture.first.finish(0);
         fixture.second.waitFor(0, "hi");
-        fixture.second.send(0, head(200, std::string(kSigned) + kUnframed + event(1)));
+        fixture.second.send(0, responseHead(200, std::string(kSigned) + kUnframed + event(1)));
         fixture.second.finish(0);
         fixture.waitFor(event(1));
         CHECK(fixture.has("HTTP/1.1 200 "));
@@ -524,7 +400,7 @@
     fixture.addFallback();
     fixture.request("/stream/a");
     fixture.first.waitFor(0, "hi");
-    fixture.first.send(0, head(404, std::string(kSigned) + "\r\n") + "data: no such model");
+    fixture.first.send(0, responseHead(404, std::string(kSigned) + "\r\n") + "data: no such model");
     fixture.first.finish(0);
     fixture.waitFor("\r\n\r\ndata: no such model");
     CHECK(fixture.has("HTTP/1.1 404 "));
@@ -540,12 +416,12 @@
         fixture.first.pauseReading();
         fixture.request("/stream/a");
         fixture.first.waitForUnreadData(0);
-        fixture.first.send(0, head(200, std::string(kSigned) + kUnframed) + event(1) + rest);
+        fixture.first.send(0, responseHead(200, std::string(kSigned) + kUnframed) + event(1) + rest);
         fixture.waitFor(event(1));
         fixture.first.drop(0);
         fixture.second.waitFor(0, "Last-Event-Id: 1\r\n");
         CHECK_FALSE(fixture.has("\r\n0\r\n"));
-        fixture.second.send(0, head(200, std::string(kSigned) + kUnframed) + event(2));
+        fixture.second.send(0, responseHead(200, std::string(kSigned) + kUnframed) + event(2));
         fixture.second.finish(0);
         fixture.waitFor("\r\n0\r\n\r\n");
         CHECK(fixture.received.find("id: 2") == fixture.received.rfind("id: 2"));
@@ -561,7 +437,7 @@
         fixture.request("/booking/a");
         fixture.first.waitForUnreadData(0);
         const std::string body(isLarge ? 1048576 : 100, 'x');
-        fixture.first.send(0, head(200, std::string(kSigned) + "X-Hornbeamgate-Server-Load: 5,0,8\r\n\r\n") + body);
+        fixture.first.send(0, responseHead(200, std::string(kSigned) + "X-Hornbeamgate-Server-Load: 5,0,8\r\n\r\n") + body);
         if (isLarge)
             REQUIRE(runUntil([&] { return fixture.received.size() > body.size(); }));
         else
@@ -579,7 +455,7 @@
     GatewayFixture fixture;
     fixture.request("/booking/a");
     fixture.first.waitFor(0, "hi");
-    fixture.first.send(0, head(201, std::string(kSigned) + "\r\n") + "all of it");
+    fixture.first.send(0, responseHead(201, std::string(kSigned) + "\r\n") + "all of it");
     fixture.first.finish(0);
     fixture.waitFor("\r\n\r\nall of it");
     CHECK(fixture.has("HTTP/1.1 201 "));
@@ -592,16 +468,16 @@
     fixture.addFallback();
     fixture.request("/read/a");
     fixture.first.waitFor(0, "hi");
-    fixture.first.send(0, head(200, std::string(kSigned) + kEmpty));
+    fixture.first.send(0, responseHead(200, std::string(kSigned) + kEmpty));
     fixture.waitFor("\r\n\r\n");
     fixture.received.clear();
     fixture.caller->send("HEAD /stream/a HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamgate-Request-Id: r1\r\nAuthorization: Bearer key\r\n\r\n");
     fixture.first.waitFor(0, "HEAD /stream/a");
-    fixture.first.send(0, head(200, std::string(kSigned) + kUnframed));
+    fixture.first.send(0, responseHead(200, std::string(kSigned) + kUnframed));
     fixture.waitFor("\r\n\r\n");
     fixture.caller->send("GET /read/b HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamgate-Request-Id: r1\r\nAuthorization: Bearer key\r\n\r\n");
     fixture.first.waitFor(1, "GET /read/b");
-    fixture.first.send(1, head(200, std::string(kSigned) + "Content-Length: 2\r\n\r\nok"));
+    fixture.first.send(1, responseHead(200, std::string(kSigned) + "Content-Length: 2\r\n\r\nok"));
     fixture.waitFor("\r\n\r\nok");
     CHECK(fixture.received.find("\r\n\r\n") + 4 == fixture.received.rfind("HTTP/1.1 200 "));
 }
@@ -625,7 +501,7 @@
         fixture.state.loads.answerBegan(EndpointId("e1"), number);
     }
     fixture.second.waitFor(0, "hi");
-    fixture.second.send(0, head(200, std::string(kSigned) + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n" + event(1)));
+    fixture.second.send(0, responseHead(200, std::string(kSigned) + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n" + event(1)));
     fixture.waitFor(event(1));
 }
 
@@ -676,7 +552,7 @@
     fixture.request("/stream/a", kLongPrompt);
     fixture.first.waitFor(0, "hi");
     fixture.state.loads.sent(EndpointId("e2"), 100, 40'000, MonotonicClock::now());
-    fixture.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1) + event(3)));
+    fixture.first.send(0, responseHead(200, std::string(kSigned) + kChunked) + chunkText(event(1) + event(3)));
     REQUIRE(runUntil([&] { return fixture.state.queueOf(ServiceId("s")).size() == 1; }));
     fixture.first.send(0, chunkText(event(9)));
     runFor(100ms);
@@ -729,7 +605,7 @@
             fixture.addEndpoint(id, engines.back()->address());
             fixture.request("/once/a", deadlyPrompt + "own-" + std::to_string(i) + ":70\r\n");
             engines.back()->waitFor(0, "hi");
-            engines.back()->send(0, head(200, kSigned + framing));
+            engines.back()->send(0, responseHead(200, kSigned + framing));
             engines.back()->finish(0);
             fixture.waitFor("HTTP/1.1 502");
             runFor(kCrashInterval);
@@ -743,7 +619,7 @@
         CHECK(fixture.state.metrics.value(Counter::RequestsQuarantined) == 1);
         fixture.request("/once/a", key + "X-Hornbeamgate-Prompt-Prefix: a:90,own-4:70\r\n");
         fixture.second.waitFor(0, "hi");
-        fixture.second.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1)) + std::string(kLastChunk));
+        fixture.second.send(0, responseHead(200, std::string(kSigned) + kChunked) + chunkText(event(1)) + std::string(kLastChunk));
         fixture.waitFor("\r\n0\r\n\r\n");
     }
 }
@@ -754,7 +630,7 @@
     fixture.addFallback();
     fixture.request("/stream/a", kLongPrompt);
     fixture.first.waitFor(0, "hi");
-    fixture.first.send(0, head(200, std::string(kSigned) + kChunked) + chunkText(event(1)));
+    fixture.first.send(0, responseHead(200, std::string(kSigned) + kChunked) + chunkText(event(1)));
     fixture.waitFor(event(1));
     fixture.state.loads.sent(EndpointId("e2"), 100, 40'000, MonotonicClock::now());
     fixture.first.drop(0);
@@ -794,14 +670,14 @@
     fixture.state.loads.pauseUntil(EndpointId("e1"), MonotonicClock::now() + 1h);
     fixture.request("/booking/a");
     fixture.first.waitFor(0, "hi");
-    fixture.first.send(0, head(200, std::string(kSigned) + kEmpty));
+    fixture.first.send(0, responseHead(200, std::string(kSigned) + kEmpty));
     fixture.waitFor("HTTP/1.1 200");
 }
 
 TEST_CASE("requests over the rate are refused with a retry time, and unexecuted requests are refunded [request]")
 {
     GatewayFixture fixture;
-    auto limited = config();
+    auto limited = makeConfig();
     limited.workspaces[0].unitsPerSecond = 0.5;
     limited.workspaces[0].burst = 1;
     fixture.state.rates.setLimits(limited.workspaces, MonotonicClock::now());
@@ -817,7 +693,7 @@
     refunded.state.routes = std::make_shared<const RouteTable>(limited);
     refunded.request("/booking/a");
     refunded.first.waitFor(0, "hi");
-    refunded.first.send(0, head(503, std::string(kNotExecuted) + kEmpty));
+    refunded.first.send(0, responseHead(503, std::string(kNotExecuted) + kEmpty));
     refunded.waitFor("HTTP/1.1 503");
     CHECK(refunded.state.rates.drawn().at(WorkspaceId("w")) == 0);
 }
@@ -866,7 +742,7 @@
 TEST_CASE("an engine's own error or an unsigned response does not acquit the prompt part of a run [request]")
 {
     const std::string prompt = "Authorization: Bearer key\r\nX-Hornbeamgate-Prompt-Prefix: a:90,d:165,";
-    for (const std::string& answer : { head(500, std::string(kSigned) + kEmpty), head(200, kEmpty) }) {
+    for (const std::string& answer : { responseHead(500, std::string(kSigned) + kEmpty), responseHead(200, kEmpty) }) {
         CAPTURE(answer);
         GatewayFixture fixture;
         REQUIRE(fixture.state.registry.withdraw(EndpointId("e1"), MonotonicClock::now()));
@@ -879,7 +755,7 @@
             if (i == 2) {
                 engines.back()->send(0, answer);
             } else {
-                engines.back()->send(0, head(200, std::string(kSigned) + kChunked));
+                engines.back()->send(0, responseHead(200, std::string(kSigned) + kChunked));
                 engines.back()->finish(0);
             }
             REQUIRE(runUntil([&] { return !fixture.received.empty(); }));
