Move the other workspaces to a new cache domain when a workspace is isolated

Cause: an isolated workspace got a cache domain of its own from then on, but all others kept the one domain that they had always shared, in which engines still held its blocks. The record of the case shows it: pivka's requests under salt "@1", before and after. Ruled out: a gateway that applies the configuration late (karst's requests have their new salt in the same second); blocks fetched from another engine or the block store (the case has neither); requests sent with the configuration of their arrival (none waits in the case). The last one is a second way into the same fault, as a waiting or repeated request kept the old domain.

Now the shared domain is named by a digest of the isolated workspaces, so it changes with them, in each gateway alike and without a message; and the domain is chosen at each send from the newest configuration. A workspace that is gone from it shares with nobody. Engines, block stores, placement and reports between gateways all take the domain from the same place.

Logs could not tell a change of isolation from one of a rate: cache_domains_changed is new, and request_placed names the domain.

Conclusion: fixed for sends after a gateway knows the configuration. What an engine has queued before runs on under the old domain.

--- a/src/hornbeamgate/gateway/route_table.cpp
+++ b/src/hornbeamgate/gateway/route_table.cpp
@@ -6,6 +6,7 @@
 
 RouteTable::RouteTable(FleetConfig config)
     : m_config(std::move(config))
+    , m_cacheDomains(m_config.workspaces)
 {
     for (std::size_t i = 0; i < m_config.routes.size(); ++i)
         m_routesByAuthority[m_config.routes[i].authority].push_back(i);
--- a/src/hornbeamgate/gateway/route_table.hpp
+++ b/src/hornbeamgate/gateway/route_table.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hornbeamgate/gateway/cache_domains.hpp"
 #include "hornbeamgate/gateway/fleet_config.hpp"
 
 #include <string>
@@ -15,6 +16,7 @@
     explicit RouteTable(FleetConfig config);
 
     const FleetConfig& config() const { return m_config; }
+    const CacheDomains& cacheDomains() const { return m_cacheDomains; }
 
     /// Returns the route at `authority` with the longest matching prefix of `path`, or null.
     const RouteRule* findRoute(std::string_view authority, std::string_view path) const;
@@ -27,6 +29,7 @@
 
 private:
     FleetConfig m_config;
+    CacheDomains m_cacheDomains;
     std::unordered_map<std::string, std::vector<std::size_t>> m_routesByAuthority; ///< longest prefix first
     std::unordered_map<std::string, std::size_t> m_workspaceByKey;
 };
--- a/src/hornbeamgate/observability/log.cpp
+++ b/src/hornbeamgate/observability/log.cpp
@@ -61,6 +61,7 @@
         EventEntry { LogEvent::EndpointPaused, "endpoint_paused", LogLevel::Info },
         EventEntry { LogEvent::AdviceUnreadable, "advice_unreadable", LogLevel::Warning },
         EventEntry { LogEvent::RateChanged, "rate_changed", LogLevel::Info },
+        EventEntry { LogEvent::CacheDomainsChanged, "cache_domains_changed", LogLevel::Info },
         EventEntry { LogEvent::WeightsNamed, "weights_named", LogLevel::Info },
         EventEntry { LogEvent::WeightsOrdered, "weights_ordered", LogLevel::Info },
         EventEntry { LogEvent::OrderJournalFailed, "order_journal_failed", LogLevel::Warning },
--- a/src/hornbeamgate/observability/log.hpp
+++ b/src/hornbeamgate/observability/log.hpp
@@ -48,6 +48,7 @@
     EndpointPaused,
     AdviceUnreadable,
     RateChanged,
+    CacheDomainsChanged,
     WeightsNamed,
     WeightsOrdered,
     OrderJournalFailed,
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -45,6 +45,14 @@
         }
     }
 
+    void logCacheDomainChanges(const RouteTable* before, const RouteTable& after)
+    {
+        const auto& domains = after.cacheDomains();
+        const auto known = before ? before->cacheDomains().shared() : std::string();
+        if (domains.shared() != known)
+            logEvent(LogEvent::CacheDomainsChanged, { { "shared", domains.shared() }, { "before", known }, { "isolated", domains.isolatedCount() }, { "config", after.config().version.value() } });
+    }
+
 } // namespace
 
 DirectoryTask::DirectoryTask(GatewayState& state, Directory& directory, DaemonEntry self)
@@ -191,7 +199,9 @@
     logEvent(LogEvent::ConfigApplied, { { "version", config.version.value() }, { "routes", config.routes.size() }, { "workspaces", config.workspaces.size() }, { "unconfirmed_ms", m_state.configAge(MonotonicClock::now()).count() } });
     logRateChanges(m_state.routes ? &m_state.routes->config() : nullptr, config);
     m_state.rates.setLimits(config.workspaces, MonotonicClock::now());
-    m_state.routes = std::make_shared<const RouteTable>(std::move(config));
+    auto routes = std::make_shared<const RouteTable>(std::move(config));
+    logCacheDomainChanges(m_state.routes.get(), *routes);
+    m_state.routes = std::move(routes);
 }
 
 void DirectoryTask::put(const WeightsTarget& target)
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -276,7 +276,9 @@
 
 std::string GatewayRequest::cacheDomain() const
 {
-    return m_workspace && m_workspace->isIsolated ? m_workspace->id.value() : std::string();
+    // The configuration may have changed since the request arrived, while it waited or was sent before.
+    const auto& domains = m_state.routes->cacheDomains();
+    return m_workspace ? domains.domainOf(m_workspace->id) : domains.shared();
 }
 
 ForwardMetadata GatewayRequest::forwardMetadata(const EndpointEntry& endpoint, const Placement& placement, MonotonicTime now) const
@@ -354,7 +356,7 @@
     logEvent(LogEvent::RequestPlaced,
         { { "request", m_metadata.requestId }, { "endpoint", m_endpoint.value() }, { "load", m_state.loads.load(m_endpoint, now) },
             { "unread_tokens", m_state.loads.pendingPrefillTokens(m_endpoint, now) }, { "tokens_to_read", placement.prefillTokens },
-            { "block_source", placement.blockSource ? placement.blockSource->value() : std::string() }, { "expected_ms", placement.expectedWait.count() } });
+            { "block_source", placement.blockSource ? placement.blockSource->value() : std::string() }, { "cache_domain", cacheDomain() }, { "expected_ms", placement.expectedWait.count() } });
 }
 
 void GatewayRequest::logResend(const EndpointId& previousEndpoint)
