Send a request again over a connection that has not carried it yet

Cause: an engine refuses a request that expects other weights with 421, and the gateway sends it again at once, to the same engine and mostly over the same connection, which had just come back into the pool. Responses are told apart by the request's id alone, and both sends have the same one. Where the engine sends the 421 a second time, late, just before its next answer, the copy was taken for the answer to the second send; with both attempts used the request was refused.

Evidence: the test plays just that and fails before, with the log line request_resent endpoint=e1 previous=e1, one connection, and a 503 to a request whose answer is on its way. Ruled out: a second refusal by the engine (the case's record has the run and the copy of the 421 just before its answer); a request that was sent and counted as not sent (no connection fails in the case); copies on other connections (a copy comes on the connection of its first).

Why this works: a copy can come only on a connection that carried the first send, so a connection that never did can't deliver one. The connections that a request was sent over are excluded when it is sent again, also to another engine at the same address. They stay in the pool for other requests, which skip the copy by its id; a connection is opened only if no other one is idle. Ruled out as fixes: closing the connection, as up to 48 requests a gateway are refused at each change of weights and new connections cost; not sending to the same engine again, as there may be no other one.

request_resent names the connection, and the dump counts the responses that were skipped.

Related paths: after all other failures an engine is not tried again, but its successor at the same address could be; covered by the same rule. Calls for weights have no ids: a stale report or response delays a load, and the engine's precondition keeps it safe. Calls to the store and to other gateways: no second copies are named for them.

--- a/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
@@ -202,6 +202,7 @@
         { "config_age_ms", m_state.configAge(now).count() }, { "draining", m_state.isDraining }, { "holds_duty", m_state.weightsRollout.isConfirmed(now) }, { "peers_heard", m_state.peers.heardCount(now) },
         { "peers_running", m_state.peers.runningCount(now) }, { "caller_connections", m_callers->connections() },
         { "connections_opened", m_state.endpointConnections.opened() }, { "connections_reused", m_state.endpointConnections.reused() },
+        { "responses_skipped", m_state.endpointConnections.skippedResponses() },
         { "endpoints", std::move(endpoints) } };
     return state.dump(2) + '\n';
 }
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -333,18 +333,21 @@
     m_requiredWeights = metadata.requiredWeights;
     if (placement.blocks)
         logPlacement(placement, now);
-    if (m_sendCount > 1 || m_connectFailures > 0)
-        logResend(previousEndpoint);
 
     ExchangeRequest request;
     request.peer = endpoint.address;
     request.text = requestText(m_state.wire.encodeForEndpoint(m_message.head, metadata), m_message.body);
     request.isHeadRequest = m_message.head.method == "HEAD";
     request.connectDeadline = std::min(now + kConnectTimeout, m_deadline);
+    request.excludedConnections = m_usedConnections;
     request.isMatchingResponse = [this](const HttpResponseHead& head) { return m_state.wire.decodeResponse(head).requestId == m_metadata.requestId; };
     m_exchange = std::make_unique<HttpExchange>(m_state.endpointConnections, std::move(request),
         HttpExchange::Handlers { [this](HttpResponseHead head) { onHead(std::move(head)); }, [this](std::string_view bytes) { onBody(bytes); },
             [this] { onComplete(); }, [this](ExchangeFailure failure, const std::string& reason) { onFailed(failure, reason); } });
+    if (const auto connection = m_exchange->connection())
+        m_usedConnections.push_back(*connection);
+    if (m_sendCount > 1 || m_connectFailures > 0)
+        logResend(previousEndpoint);
     if (m_route->isRetryable() && m_sendCount < m_route->maxEndpoints) {
         const double part = m_route->isStreaming ? 1.0 : kOverdueFraction;
         m_overdueTimer.set(now + std::chrono::duration_cast<Duration>(m_route->latencyObjective * part));
@@ -362,7 +365,7 @@
 void GatewayRequest::logResend(const EndpointId& previousEndpoint)
 {
     logEvent(LogEvent::RequestResent,
-        { { "request", m_metadata.requestId }, { "route", m_route->name }, { "endpoint", m_endpoint.value() }, { "previous", previousEndpoint.value() },
+        { { "request", m_metadata.requestId }, { "route", m_route->name }, { "endpoint", m_endpoint.value() }, { "previous", previousEndpoint.value() }, { "connection", m_exchange->connection().value_or(ConnectionNumber()).value() },
             { "sends", m_sendCount }, { "cause", std::exchange(m_resendCause, "none") }, { "may_have_run", m_mayHaveExecuted ? 1 : 0 } });
 }
 
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -124,6 +124,7 @@
     std::optional<Duration> m_timeToFirstPiece; ///< measured from the arrival of the request
     std::optional<WeightsVersion> m_requiredWeights;
     std::unique_ptr<HttpExchange> m_exchange;
+    std::vector<ConnectionNumber> m_usedConnections; ///< that carried this request
     std::optional<HttpResponseHead> m_responseHead;
     ResponseMetadata m_responseMetadata;
     std::string m_responseBody;
--- a/src/hornbeamgate/runtime/net/http_connection_pool.cpp
+++ b/src/hornbeamgate/runtime/net/http_connection_pool.cpp
@@ -14,35 +14,37 @@
 
 } // namespace
 
-std::unique_ptr<TcpStream> HttpConnectionPool::take(const SocketAddress& peer, MonotonicTime now)
+std::optional<HttpConnection> HttpConnectionPool::take(const SocketAddress& peer, MonotonicTime now, std::span<const ConnectionNumber> excluded)
 {
     const auto found = m_peers.find(peer.text());
     if (found == m_peers.end())
-        return nullptr;
+        return std::nullopt;
     auto& idle = found->second.idle;
     std::erase_if(idle, [&](const Idle& entry) {
-        return now >= entry.expiresAt || now - entry.since > found->second.trustedIdleTime || !entry.stream->hasNoInput();
+        return now >= entry.expiresAt || now - entry.since > found->second.trustedIdleTime || !entry.connection.stream->hasNoInput();
     });
-    if (idle.empty())
-        return nullptr;
     // The peer is least likely to have closed the most recently used connection.
-    auto stream = std::move(idle.back().stream);
-    m_lastIdleTime = now - idle.back().since;
-    idle.pop_back();
+    const auto isUsable = [excluded](const Idle& entry) { return std::find(excluded.begin(), excluded.end(), entry.connection.number) == excluded.end(); };
+    const auto newest = std::find_if(idle.rbegin(), idle.rend(), isUsable);
+    if (newest == idle.rend())
+        return std::nullopt;
+    auto connection = std::move(newest->connection);
+    m_lastIdleTime = now - newest->since;
+    idle.erase(std::next(newest).base());
     ++m_reused;
-    return stream;
+    return connection;
 }
 
-void HttpConnectionPool::put(const SocketAddress& peer, std::unique_ptr<TcpStream> stream, MonotonicTime expiresAt, MonotonicTime now)
+void HttpConnectionPool::put(const SocketAddress& peer, HttpConnection connection, MonotonicTime expiresAt, MonotonicTime now)
 {
     auto& idle = peerAt(peer).idle;
     if (idle.size() >= kMaxIdlePerPeer)
         idle.pop_front();
-    const auto* raw = stream.get();
+    const auto* raw = connection.stream.get();
     // Removed at once, since a request may take the connection before the next iteration of the main loop.
     const auto drop = [this, key = peer.text(), raw] { remove(key, raw); };
-    stream->setHandlers({ {}, [drop](std::string_view) { drop(); }, [drop](StreamEnd, const std::string&) { drop(); } });
-    idle.push_back({ std::move(stream), now, expiresAt });
+    connection.stream->setHandlers({ {}, [drop](std::string_view) { drop(); }, [drop](StreamEnd, const std::string&) { drop(); } });
+    idle.push_back({ std::move(connection), now, expiresAt });
 }
 
 void HttpConnectionPool::recordFailedReuse(const SocketAddress& peer, Duration idleTime)
@@ -60,7 +62,7 @@
 {
     const auto found = m_peers.find(peer);
     if (found != m_peers.end())
-        std::erase_if(found->second.idle, [stream](const Idle& entry) { return entry.stream.get() == stream; });
+        std::erase_if(found->second.idle, [stream](const Idle& entry) { return entry.connection.stream.get() == stream; });
 }
 
 } // namespace hornbeamgate::gateway
--- a/src/hornbeamgate/runtime/net/http_exchange.cpp
+++ b/src/hornbeamgate/runtime/net/http_exchange.cpp
@@ -51,11 +51,12 @@
 
 void HttpExchange::open()
 {
-    m_stream = m_pool.take(m_request.peer, MonotonicClock::now());
-    m_isReused = m_stream != nullptr;
-    if (m_isReused)
+    if (auto pooled = m_pool.take(m_request.peer, MonotonicClock::now(), m_request.excludedConnections)) {
+        m_isReused = true;
         m_idleTime = m_pool.lastIdleTime();
-    if (!m_stream) {
+        m_stream = std::move(pooled->stream);
+        m_number = pooled->number;
+    } else {
         auto connected = TcpStream::connect(m_request.peer, m_request.connectDeadline);
         if (!connected) {
             // Report asynchronously, since the caller has no pointer to this exchange yet.
@@ -65,7 +66,7 @@
             });
             return;
         }
-        m_pool.recordOpened();
+        m_number = m_pool.recordOpened();
         m_stream = std::move(*connected);
     }
     m_stream->setHandlers({ [this] { send(); }, [this](std::string_view octets) { onReceived(octets); },
@@ -125,8 +126,10 @@
 {
     m_isSkipping = m_request.isMatchingResponse && !m_request.isMatchingResponse(head);
     m_keepsAlive = head.keepsAlive && !head.endsWithConnection;
-    if (m_isSkipping)
+    if (m_isSkipping) {
+        m_pool.recordSkippedResponse();
         return;
+    }
     m_hasAnswer = true;
     m_keepAliveTime = keepAliveTime(head.fields);
     m_events.push_back({ Event::Kind::Head, std::move(head), {} });
@@ -166,7 +169,7 @@
     const bool isClean = m_keepsAlive && !m_hasTrailingOctets && m_stream->unsent() == 0;
     const auto now = MonotonicClock::now();
     if (isClean && m_keepAliveTime > Duration::zero()) {
-        m_pool.put(m_request.peer, std::move(m_stream), now + m_keepAliveTime, now);
+        m_pool.put(m_request.peer, { std::move(m_stream), *m_number }, now + m_keepAliveTime, now);
         return;
     }
     // The stream's callbacks refer to this exchange, so the stream must not outlive it.
--- a/src/hornbeamgate/runtime/net/http_exchange.hpp
+++ b/src/hornbeamgate/runtime/net/http_exchange.hpp
@@ -4,6 +4,7 @@
 #include "hornbeamgate/runtime/net/http_parser.hpp"
 
 #include <deque>
+#include <vector>
 
 namespace hornbeamgate::gateway {
 
@@ -24,6 +25,9 @@
     bool isHeadRequest = false;
     MonotonicTime connectDeadline {};
     std::size_t maxBodyBytes = SIZE_MAX; ///< a larger response body is a failure
+    /// Connections that are not used, such as those that carried the same request before: a late second copy of its earlier
+    /// response there could not be told from the new one.
+    std::vector<ConnectionNumber> excludedConnections;
     /// Responses for which this returns false belong to an earlier exchange and are skipped. Empty: every response
     /// matches.
     std::function<bool(const HttpResponseHead&)> isMatchingResponse;
@@ -49,6 +53,8 @@
 
     /// Whether the request was sent over a pooled connection.
     bool isReused() const { return m_isReused; }
+    /// Connection over which the request is sent; none if it could not be opened.
+    std::optional<ConnectionNumber> connection() const { return m_number; }
 
 private:
     struct Event {
@@ -73,6 +79,7 @@
     ExchangeRequest m_request;
     std::shared_ptr<const Handlers> m_handlers; ///< shared so that a running callback may destroy the exchange
     std::unique_ptr<TcpStream> m_stream;
+    std::optional<ConnectionNumber> m_number;
     std::unique_ptr<HttpParser> m_parser;
     std::deque<Event> m_events;
     bool m_isReused = false;
--- a/tests/net/http_exchange.test.cpp
+++ b/tests/net/http_exchange.test.cpp
@@ -17,12 +17,13 @@
 
 /// Runs one exchange and records its callbacks.
 struct ExchangeRecorder {
-    ExchangeRecorder(HttpConnectionPool& pool, const SocketAddress& peer, const std::string& id, MonotonicTime connectDeadline = MonotonicClock::now() + 5s)
+    ExchangeRecorder(HttpConnectionPool& pool, const SocketAddress& peer, const std::string& id, MonotonicTime connectDeadline = MonotonicClock::now() + 5s, std::vector<ConnectionNumber> excluded = {})
     {
         ExchangeRequest request;
         request.peer = peer;
         request.text = "GET /" + id + " HTTP/1.1\r\nHost: h\r\n\r\n";
         request.connectDeadline = connectDeadline;
+        request.excludedConnections = std::move(excluded);
         request.isMatchingResponse = [id](const HttpResponseHead& head) { return head.fields.find("Id") == id; };
         exchange = std::make_unique<HttpExchange>(pool, std::move(request),
             HttpExchange::Handlers { [this](const HttpResponseHead& head) { status = head.status; }, [this](std::string_view octets) { body += octets; }, [this] { isComplete = true; },
@@ -128,7 +129,7 @@
     // Lets the data arrive before the next iteration of the loop, after which the pool has been told of it.
     std::this_thread::sleep_for(50ms);
     g_main_context_iteration(nullptr, FALSE);
-    CHECK(pool.take(server.address(), MonotonicClock::now()) == nullptr);
+    CHECK_FALSE(pool.take(server.address(), MonotonicClock::now()));
 }
 
 TEST_CASE("data received after the end of an exchange does not reach its destroyed owner [exchange]")
@@ -253,12 +254,12 @@
         REQUIRE(runUntil([&] { return isConnected && server.connections() > count; }));
         return std::move(*stream);
     };
-    pool.put(server.address(), connect(), now + 1h, now);
+    pool.put(server.address(), { connect(), pool.recordOpened() }, now + 1h, now);
     CHECK(pool.take(server.address(), now + 400ms));
     pool.recordFailedReuse(server.address(), 400ms);
-    pool.put(server.address(), connect(), now + 1h, now);
+    pool.put(server.address(), { connect(), pool.recordOpened() }, now + 1h, now);
     CHECK_FALSE(pool.take(server.address(), now + 300ms));
-    pool.put(server.address(), connect(), now + 1h, now);
+    pool.put(server.address(), { connect(), pool.recordOpened() }, now + 1h, now);
     CHECK(pool.take(server.address(), now + 150ms));
 }
 
@@ -335,3 +336,52 @@
         CHECK(exchange.failure == ExchangeFailure::MalformedAnswer);
     }
 }
+
+// Guards against a late second copy of a response that is taken for the response to the same request, sent again.
+TEST_CASE("a request is not sent over an excluded connection, which stays in the pool for others [exchange]")
+{
+    ScriptedServer server;
+    HttpConnectionPool pool;
+    ExchangeRecorder first(pool, server.address(), "one");
+    server.waitFor(0, "/one");
+    server.send(0, answer("one", "x"));
+    first.waitForEnd();
+    const auto used = first.exchange->connection();
+    REQUIRE(used);
+    ExchangeRecorder again(pool, server.address(), "one", MonotonicClock::now() + 5s, { *used });
+    server.waitFor(1, "/one");
+    CHECK_FALSE(again.exchange->isReused());
+    CHECK(again.exchange->connection() != used);
+    ExchangeRecorder other(pool, server.address(), "two");
+    server.waitFor(0, "/two");
+    CHECK(other.exchange->connection() == used);
+    server.send(0, answer("one", "x") + answer("two", "y"));
+    server.send(1, answer("one", "z"));
+    other.waitForEnd();
+    again.waitForEnd();
+    CHECK(other.body == "y");
+    CHECK(again.body == "z");
+    CHECK(pool.skippedResponses() == 1);
+}
+
+TEST_CASE("of several idle connections the most recently used one that is not excluded is taken [exchange]")
+{
+    ScriptedServer server;
+    HttpConnectionPool pool;
+    std::vector<std::unique_ptr<ExchangeRecorder>> recorders;
+    for (int i = 0; i < 3; ++i) {
+        recorders.push_back(std::make_unique<ExchangeRecorder>(pool, server.address(), std::to_string(i)));
+        server.waitFor(static_cast<std::size_t>(i), "/" + std::to_string(i));
+    }
+    std::vector<ConnectionNumber> numbers;
+    for (int i = 0; i < 3; ++i) {
+        server.send(static_cast<std::size_t>(i), answer(std::to_string(i), "x"));
+        recorders[static_cast<std::size_t>(i)]->waitForEnd();
+        numbers.push_back(*recorders[static_cast<std::size_t>(i)]->exchange->connection());
+    }
+    const auto now = MonotonicClock::now();
+    const std::vector excluded { numbers[2], numbers[0] };
+    CHECK(pool.take(server.address(), now, excluded)->number == numbers[1]);
+    CHECK_FALSE(pool.take(server.address(), now, excluded));
+    CHECK(pool.take(server.address(), now)->number == numbers[2]);
+}
--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -769,3 +769,22 @@
         CHECK(fixture.second.connections() == 0);
     }
 }
+
+// Guards against a refusal that says "not executed" of a request that runs.
+TEST_CASE("a late second copy of a refusal is not taken for the response of the next send to the same engine [request]")
+{
+    GatewayFixture fixture;
+    fixture.addModel("m", 1);
+    fixture.request("/once/a", std::string(kLongPrompt) + "X-Hornbeamgate-Model: m\r\n");
+    fixture.first.waitFor(0, "hi");
+    const auto refusal = responseHead(421, std::string(kNotExecuted) + "X-Hornbeamgate-Instance-Id: e1\r\nX-Hornbeamgate-Weight-Versions: 2\r\n" + kEmpty);
+    fixture.first.send(0, refusal);
+    REQUIRE(runUntil([&] { return fixture.first.countReceived("\r\n\r\nhi") == 2; }));
+    // The copy arrives where the engine's next response on that connection is expected.
+    fixture.first.send(0, refusal);
+    fixture.first.send(fixture.first.connections() - 1, responseHead(200, std::string(kSigned) + kChunked) + chunkText(event(0)) + std::string(kLastChunk));
+    REQUIRE(runUntil([&] { return fixture.has("0\r\n\r\n") || fixture.has("HTTP/1.1 503"); }));
+    CHECK(fixture.has("HTTP/1.1 200 "));
+    CHECK(fixture.has(event(0)));
+    CHECK_FALSE(fixture.has("HTTP/1.1 503"));
+}
