Keep a workspace's name from giving the cache domain of another one with its weights

Cause: the domain of some weights was the domain's name followed by "@" and the version, so "karst@1" without weights (a short prompt) equalled "karst" with weights 1 (a long one). Now the version stands first, before a slash, and all other names begin with a word.

Engines read shared prompts once again when daemons of this version replace older ones, as the domain of each version of weights has another name.

--- a/src/hornbeamgate/gateway/cache_domains.cpp
+++ b/src/hornbeamgate/gateway/cache_domains.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    // The prefixes keep a workspace from having the name of a shared domain.
+    // The prefixes keep a workspace from having the name of a shared domain, or of one of some weights, which begins with a digit.
     constexpr std::string_view kIsolatedPrefix = "workspace/";
     constexpr std::string_view kSharedPrefix = "shared/";
     constexpr std::size_t kDigestBytes = 16;
@@ -41,4 +41,9 @@
     return std::string(kIsolatedPrefix) + workspace.value();
 }
 
+std::string domainOfWeights(const std::string& domain, WeightsVersion weights)
+{
+    return std::to_string(weights.value()) + '/' + domain;
+}
+
 } // namespace hornbeamgate::gateway
--- a/src/hornbeamgate/gateway/cache_domains.hpp
+++ b/src/hornbeamgate/gateway/cache_domains.hpp
@@ -32,4 +32,8 @@
     std::string m_shared;
 };
 
+/// Returns the domain of those blocks of `domain` that certain weights computed. Different pairs give different domains, and
+/// none gives a domain without weights.
+std::string domainOfWeights(const std::string& domain, WeightsVersion weights);
+
 } // namespace hornbeamgate::gateway
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -304,7 +304,7 @@
         if (store)
             metadata.blockStore = store->address;
         metadata.requiredWeights = weights->second;
-        metadata.cacheDomain += '@' + std::to_string(weights->second.value());
+        metadata.cacheDomain = domainOfWeights(metadata.cacheDomain, weights->second);
     }
     return metadata;
 }
--- a/tests/gateway/cache_domains.test.cpp
+++ b/tests/gateway/cache_domains.test.cpp
@@ -57,6 +57,20 @@
     CHECK(second.domainOf(WorkspaceId("workspace/b")) != first.domainOf(WorkspaceId("b")));
 }
 
+TEST_CASE("pairs of a domain and weights give different domains, whatever the names [cache-domains]")
+{
+    CHECK(rc::check([] {
+        const auto name = rc::gen::container<std::string>(rc::gen::element('/', '1', '2', '@', 'a'));
+        const auto first = std::pair { *name, *rc::gen::inRange<std::uint64_t>(0, 30) };
+        const auto second = std::pair { *name, *rc::gen::inRange<std::uint64_t>(0, 30) };
+        const CacheDomains domains({});
+        const auto domainOf = [&](const auto& pair) { return domainOfWeights(domains.domainOf(WorkspaceId(pair.first)), WeightsVersion(pair.second)); };
+        RC_ASSERT((first == second) == (domainOf(first) == domainOf(second)));
+        RC_ASSERT(domainOf(first) != domains.domainOf(WorkspaceId(second.first)));
+        RC_ASSERT(domainOf(first) != domainOfWeights(domains.shared(), WeightsVersion(second.second)));
+    }));
+}
+
 // Guards against blocks of a workspace that others find after it was isolated, whatever the configurations before.
 TEST_CASE("an isolated workspace shares no blocks with another one, in any series of configurations [cache-domains]")
 {
