Read on when a connection goes back into the pool

Cause: while a caller reads slowly, the gateway pauses reading its engine's response. If the read before the pause held the rest of the response, the exchange was complete and its connection went into the pool with reading still paused. The next request on it was sent, and its response was never read. Ruled out: an engine that does not answer (the case's engine answers at once, and the test's server too).

The pool now reads on when it takes a connection back, so whoever takes one can rely on it, as the pool's other promises.

--- a/src/hornbeamgate/runtime/net/http_connection_pool.cpp
+++ b/src/hornbeamgate/runtime/net/http_connection_pool.cpp
@@ -40,6 +40,7 @@
     auto& idle = peerAt(peer).idle;
     if (idle.size() >= kMaxIdlePerPeer)
         idle.pop_front();
+    connection.stream->pauseReading(false);
     const auto* raw = connection.stream.get();
     // Removed at once, since a request may take the connection before the next iteration of the main loop.
     const auto drop = [this, key = peer.text(), raw] { remove(key, raw); };
--- a/src/hornbeamgate/runtime/net/http_connection_pool.hpp
+++ b/src/hornbeamgate/runtime/net/http_connection_pool.hpp
@@ -30,7 +30,8 @@
     /// connections and those idle for longer than the trusted idle time of the peer are discarded first.
     std::optional<HttpConnection> take(const SocketAddress& peer, MonotonicTime now, std::span<const ConnectionNumber> excluded = {});
 
-    /// Adds a connection with no exchange in progress; it is not reused after `expiresAt`.
+    /// Adds a connection with no exchange in progress, and reads on if its last exchange paused reading. It is not reused
+    /// after `expiresAt`.
     void put(const SocketAddress& peer, HttpConnection connection, MonotonicTime expiresAt, MonotonicTime now);
 
     /// Records that a connection broke on reuse after being idle for `idleTime`, which limits later reuse to half of it.
--- a/tests/net/http_exchange.test.cpp
+++ b/tests/net/http_exchange.test.cpp
@@ -26,7 +26,10 @@
         request.excludedConnections = std::move(excluded);
         request.isMatchingResponse = [id](const HttpResponseHead& head) { return head.fields.find("Id") == id; };
         exchange = std::make_unique<HttpExchange>(pool, std::move(request),
-            HttpExchange::Handlers { [this](const HttpResponseHead& head) { status = head.status; }, [this](std::string_view octets) { body += octets; }, [this] { isComplete = true; },
+            HttpExchange::Handlers { [this](const HttpResponseHead& head) { status = head.status; }, [this](std::string_view octets) {
+                    body += octets;
+                    if (pausesAtBody)
+                        exchange->pauseReading(true); }, [this] { isComplete = true; },
                 [this](ExchangeFailure reason, const std::string&) {
                     failure = reason;
                     ++failures;
@@ -39,6 +42,7 @@
         REQUIRE(runUntil([this] { return hasEnded(); }));
     }
 
+    bool pausesAtBody = false;
     int status = 0;
     std::string body;
     bool isComplete = false;
@@ -385,3 +389,21 @@
     CHECK_FALSE(pool.take(server.address(), now, excluded));
     CHECK(pool.take(server.address(), now)->number == numbers[2]);
 }
+
+// Guards against a response that is never read because reading was paused for an earlier one on its connection.
+TEST_CASE("a response is read on a connection whose earlier response was paused until its end [exchange]")
+{
+    ScriptedServer server;
+    HttpConnectionPool pool;
+    ExchangeRecorder slow(pool, server.address(), "one");
+    slow.pausesAtBody = true;
+    server.waitFor(0, "/one");
+    server.send(0, answer("one", "x"));
+    slow.waitForEnd();
+    REQUIRE(slow.isComplete);
+    ExchangeRecorder next(pool, server.address(), "two");
+    server.waitFor(0, "/two");
+    server.send(0, answer("two", "y"));
+    next.waitForEnd();
+    CHECK(next.body == "y");
+}
