Keep a connection busy until its response is sent

Cause: a request was over when its response lay in the connection's buffer. From then on the drain counted the connection as idle, the linger timeout closed it after a second and the idle timeout ran. Ruled out: the drain's own bound (it has seconds left in the case).

Delivery is now a state of the connection: until the socket has accepted the last byte the connection is busy, the handler lives, and pipelined requests wait. The idle and linger timeouts begin when the response is sent. A client that reads nothing for the idle timeout is disconnected, so at most one response a connection waits. The handler is told when its response is sent or cut off: response_cut_off names the request, the bytes and the reason, a counter and the distribution of the delivery time are new. A finished request gives up its bodies, as it lives longer now.

Found by its test: a failed send threw the unsent bytes away, which looked like a delivered response. They stay counted now.

--- a/src/hornbeamgate/observability/log.hpp
+++ b/src/hornbeamgate/observability/log.hpp
@@ -22,6 +22,7 @@
     RequestRefused,
     RequestPlaced,
     RequestResent,
+    ResponseCutOff,
     QuarantineChanged,
     RunFinished,
     RunFailed,
--- a/src/hornbeamgate/observability/metrics.cpp
+++ b/src/hornbeamgate/observability/metrics.cpp
@@ -23,6 +23,7 @@
         "hornbeamgate_requests_failed_total",
         "hornbeamgate_requests_quarantined_total",
         "hornbeamgate_requests_at_limit_total",
+        "hornbeamgate_responses_cut_off_total",
         "hornbeamgate_stream_pieces_total",
         "hornbeamgate_runs_resumed_total",
         "hornbeamgate_runs_retried_total",
@@ -39,6 +40,7 @@
         "hornbeamgate_time_between_pieces_seconds",
         "hornbeamgate_request_duration_seconds",
         "hornbeamgate_queue_wait_seconds",
+        "hornbeamgate_response_delivery_seconds",
     };
 
     constexpr std::array kQuantiles { 0.5, 0.95, 0.99 };
--- a/src/hornbeamgate/observability/metrics.hpp
+++ b/src/hornbeamgate/observability/metrics.hpp
@@ -16,6 +16,7 @@
     RequestsFailed,
     RequestsQuarantined,
     RequestsAtLimit,
+    ResponsesCutOff,
     StreamPieces,
     RunsResumed,
     RunsRetried,
@@ -34,6 +35,7 @@
     TimeBetweenPieces,
     RequestDuration,
     QueueWait,
+    ResponseDelivery,
     LatencyCount,
 };
 
--- a/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
@@ -134,6 +134,7 @@
 
 void GatewayDaemon::finishDrain()
 {
+    m_callers->reportCutOffResponses("the process ends");
     const auto pending = std::make_shared<int>(2);
     m_directory.resignLeadership([pending] { --*pending; });
     m_peers->sendReport();
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -673,6 +673,17 @@
     finish("caller left", 0);
 }
 
+void GatewayRequest::responseSent()
+{
+    m_state.metrics.observe(Latency::ResponseDelivery, MonotonicClock::now() - m_finishedAt);
+}
+
+void GatewayRequest::responseCutOff(std::size_t unsent, std::string_view reason)
+{
+    m_state.metrics.add(Counter::ResponsesCutOff);
+    logEvent(LogEvent::ResponseCutOff, { { "request", m_metadata.requestId }, { "unsent_bytes", unsent }, { "reason", reason }, { "ms", std::chrono::duration_cast<milliseconds>(MonotonicClock::now() - m_finishedAt).count() } });
+}
+
 void GatewayRequest::endSend(SendOutcome outcome)
 {
     m_isSending = false;
@@ -712,7 +723,11 @@
     m_deadlineTimer.clear();
     m_overdueTimer.clear();
     m_callerTimer.clear();
+    // The request lives on until its response is sent, which a slow caller may delay.
+    std::string().swap(m_message.body);
+    std::string().swap(m_responseBody);
     const auto now = MonotonicClock::now();
+    m_finishedAt = now;
     m_state.metrics.observe(Latency::RequestDuration, now - m_message.headArrived);
     const bool isServed = outcome == "served";
     if (isServed)
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -18,6 +18,8 @@
 
     void start() override;
     void clientDisconnected() override;
+    void responseSent() override;
+    void responseCutOff(std::size_t unsent, std::string_view reason) override;
 
 private:
     /// How an endpoint's response is delivered to the caller.
@@ -111,6 +113,7 @@
     bool m_mayHaveExecuted = false;
     bool m_hasBegunResponse = false;
     bool m_isFinished = false;
+    MonotonicTime m_finishedAt {};
 
     std::optional<Duration> m_admissionWait; ///< expected when no endpoint admitted the request
     PromptQueueDispatcher::Ticket m_queueTicket; ///< held while the request waits for capacity
--- a/src/hornbeamgate/runtime/net/http_acceptor.cpp
+++ b/src/hornbeamgate/runtime/net/http_acceptor.cpp
@@ -73,6 +73,12 @@
         connection->closeIfIdle();
 }
 
+void HttpAcceptor::reportCutOffResponses(std::string_view reason)
+{
+    for (auto& [key, connection] : m_connections)
+        connection->reportCutOff(reason);
+}
+
 HttpServerConnection::Accept respondImmediately(std::function<HttpSimpleResponse(const HttpRequestMessage&)> answer)
 {
     return [answer = std::move(answer)](HttpServerConnection& connection, const HttpRequestMessage& message) -> std::unique_ptr<HttpRequestHandler> {
--- a/src/hornbeamgate/runtime/net/http_acceptor.hpp
+++ b/src/hornbeamgate/runtime/net/http_acceptor.hpp
@@ -21,9 +21,11 @@
 
     const SocketAddress& address() const { return m_listener->address(); }
     std::size_t connections() const { return m_connections.size(); }
-    /// Number of connections with a request in progress.
+    /// Number of connections with a request in progress, or a response that is not sent yet.
     std::size_t busyConnections() const;
     void closeIdleConnections();
+    /// Tells the handlers of responses that are not sent yet that their connections are about to end.
+    void reportCutOffResponses(std::string_view reason);
 
 private:
     explicit HttpAcceptor(Service service);
--- a/src/hornbeamgate/runtime/net/http_server_connection.cpp
+++ b/src/hornbeamgate/runtime/net/http_server_connection.cpp
@@ -23,7 +23,11 @@
     const auto limits = m_host.limits();
     m_parser = HttpParser::forRequests({ limits.maxHeadBytes, limits.maxBodyBytes },
         { [this](HttpRequestHead head) { onHead(std::move(head)); }, {}, [this](std::string_view octets) { onBody(octets); }, [this] { onRequest(); } });
-    m_stream->setHandlers({ {}, [this](std::string_view octets) { onReceived(octets); }, [this](StreamEnd, const std::string&) { onEnded(); } });
+    m_stream->setHandlers({ {}, [this](std::string_view octets) { onReceived(octets); }, [this](StreamEnd, const std::string&) { onEnded(); },
+        [this] {
+            if (m_isSendingRest)
+                onSent();
+        } });
     m_timer.set(MonotonicClock::now() + limits.idleTimeout);
 }
 
@@ -128,17 +132,37 @@
     post([this, alive = m_liveness.watch()] {
         if (alive.expired() || m_hasEnded)
             return;
-        m_handler.reset();
-        if (!m_keepsAlive) {
-            finish();
+        if (unsent() == 0) {
+            onSent();
             return;
         }
+        m_isSendingRest = true;
+        m_unsentBefore = unsent();
         m_timer.set(MonotonicClock::now() + m_host.limits().idleTimeout);
-        m_stream->pauseReading(false);
-        parsePending();
     });
 }
 
+void HttpServerConnection::onSent()
+{
+    m_isSendingRest = false;
+    if (m_handler)
+        m_handler->responseSent();
+    m_handler.reset();
+    if (!m_keepsAlive) {
+        finish();
+        return;
+    }
+    m_timer.set(MonotonicClock::now() + m_host.limits().idleTimeout);
+    m_stream->pauseReading(false);
+    parsePending();
+}
+
+void HttpServerConnection::reportCutOff(std::string_view reason)
+{
+    if (std::exchange(m_isSendingRest, false) && m_handler)
+        m_handler->responseCutOff(unsent(), reason);
+}
+
 void HttpServerConnection::abort()
 {
     close();
@@ -159,6 +183,7 @@
 
 void HttpServerConnection::onEnded()
 {
+    reportCutOff("the client closed the connection");
     if (m_handler)
         m_handler->clientDisconnected();
     notifyEnded();
@@ -170,6 +195,12 @@
         refuse(kRequestTimeout);
         return;
     }
+    if (m_isSendingRest && unsent() < m_unsentBefore) {
+        m_unsentBefore = unsent();
+        m_timer.set(MonotonicClock::now() + m_host.limits().idleTimeout);
+        return;
+    }
+    reportCutOff("the client read nothing for the idle timeout");
     close();
 }
 
--- a/src/hornbeamgate/runtime/net/http_server_connection.hpp
+++ b/src/hornbeamgate/runtime/net/http_server_connection.hpp
@@ -33,9 +33,16 @@
     virtual void start() = 0;
     /// The client closed its connection. No response can be sent any more.
     virtual void clientDisconnected() = 0;
+    /// The socket has accepted the whole response.
+    virtual void responseSent() { }
+    /// The connection ends before `unsent` bytes of the complete response were sent.
+    virtual void responseCutOff([[maybe_unused]] std::size_t unsent, [[maybe_unused]] std::string_view reason) { }
 };
 
 /// Server side of one HTTP/1.1 connection. Reads one request at a time and sends its response.
+///
+/// A response belongs to its request until the socket has accepted its last byte: until then the connection is busy, the
+/// handler lives, no further request is read, and no timeout but that of a client that reads nothing ends the connection.
 class HttpServerConnection {
 public:
     /// Creates the handler of a request, which sends the response over the connection.
@@ -63,7 +70,9 @@
 
     /// Number of response bytes that have not been written to the socket yet.
     std::size_t unsent() const { return m_stream ? m_stream->unsent() : 0; }
-    bool hasRequest() const { return m_handler != nullptr || m_isReadingRequest; }
+    bool hasRequest() const { return m_handler != nullptr || m_isReadingRequest || m_isSendingRest; }
+    /// Tells the handler of a response that is not sent yet that the connection is about to end.
+    void reportCutOff(std::string_view reason);
     /// Closes the connection unless a request is in progress.
     void closeIfIdle();
 
@@ -77,6 +86,7 @@
     void onTimeout();
     void refuse(int status);
     void completeResponse();
+    void onSent();
     void finish();
     void close();
     void notifyEnded();
@@ -90,6 +100,8 @@
     bool m_isReadingRequest = false;
     bool m_keepsAlive = true;
     bool m_isHeadRequest = false;
+    bool m_isSendingRest = false; ///< the response is complete, and a part of it waits for the client to read
+    std::size_t m_unsentBefore = 0; ///< bytes that waited when the timer was set last
     bool m_isFinishing = false; ///< no further input is processed
     bool m_hasEnded = false;
     Timer m_timer;
--- a/src/hornbeamgate/runtime/net/tcp_stream.cpp
+++ b/src/hornbeamgate/runtime/net/tcp_stream.cpp
@@ -97,6 +97,8 @@
 
 void TcpStream::send(std::string_view octets)
 {
+    if (m_hasSendFailed)
+        return;
     m_unsent += octets;
     if (m_isConnected)
         flush();
@@ -137,8 +139,12 @@
         finishConnecting();
         return;
     }
-    if (condition & G_IO_OUT)
+    if (condition & G_IO_OUT) {
         flush();
+        const auto handlers = m_handlers;
+        if (unsent() == 0 && handlers->drained)
+            handlers->drained();
+    }
     if (alive.expired() || m_hasEnded)
         return;
     if (condition & (G_IO_IN | G_IO_HUP | G_IO_ERR))
@@ -183,14 +189,11 @@
 
 void TcpStream::flush()
 {
-    while (unsent() > 0) {
+    while (unsent() > 0 && !m_hasSendFailed) {
         const auto count = ::send(m_descriptor, m_unsent.data() + m_sentOffset, unsent(), MSG_NOSIGNAL);
         if (count < 0) {
             // A failed send is reported when reading fails, after the data that the peer had sent is delivered.
-            if (errno != EAGAIN && errno != EINTR) {
-                m_unsent.clear();
-                m_sentOffset = 0;
-            }
+            m_hasSendFailed = errno != EAGAIN && errno != EINTR;
             break;
         }
         m_sentOffset += static_cast<std::size_t>(count);
@@ -212,7 +215,7 @@
     if (m_hasEnded)
         return;
     int interest = 0;
-    if (!m_isConnected || unsent() > 0)
+    if (!m_isConnected || (unsent() > 0 && !m_hasSendFailed))
         interest |= G_IO_OUT;
     if (m_isConnected && !m_isReadingPaused)
         interest |= G_IO_IN;
--- a/src/hornbeamgate/runtime/net/tcp_stream.hpp
+++ b/src/hornbeamgate/runtime/net/tcp_stream.hpp
@@ -33,6 +33,7 @@
         std::function<void()> connected; ///< optional
         std::function<void(std::string_view)> received;
         std::function<void(StreamEnd, const std::string& reason)> ended;
+        std::function<void()> drained {}; ///< optional; the socket has accepted all data that it did not accept at once
     };
 
     /// Starts connecting. If the connection is not established by `deadline`, the stream ends with `Refused`.
@@ -73,6 +74,7 @@
     bool m_isConnected = false;
     bool m_isReadingPaused = false;
     bool m_finishAfterFlush = false;
+    bool m_hasSendFailed = false; ///< what is unsent will not be sent
     bool m_hasEnded = false;
     std::string m_unsent;
     std::size_t m_sentOffset = 0;
--- a/tests/net/http_server_connection.test.cpp
+++ b/tests/net/http_server_connection.test.cpp
@@ -38,6 +38,49 @@
     bool hasEnded = false;
 };
 
+/// Server that answers each request with more bytes than the socket buffers of both sides hold, and records what becomes of
+/// its responses.
+struct LargeResponseServer {
+    explicit LargeResponseServer(HttpServerLimits limits = {}, bool isClosing = false)
+    {
+        auto created = HttpAcceptor::create({ "127.0.0.1", 0 }, { [this](HttpServerConnection& connection, const HttpRequestMessage&) { return std::make_unique<Handler>(*this, connection); }, [limits] { return limits; }, [isClosing] { return isClosing; } });
+        REQUIRE(created);
+        acceptor = std::move(*created);
+    }
+
+    struct Handler : HttpRequestHandler {
+        Handler(LargeResponseServer& ofServer, HttpServerConnection& ofConnection)
+            : server(ofServer)
+            , connection(ofConnection)
+        {
+        }
+        void start() override { connection.answer(200, {}, std::string(kBodyBytes, 'x')); }
+        void clientDisconnected() override { }
+        void responseSent() override { ++server.sentResponses; }
+        void responseCutOff(std::size_t unsent, std::string_view) override { server.cutOffBytes += unsent; }
+
+        LargeResponseServer& server;
+        HttpServerConnection& connection;
+    };
+
+    static constexpr std::size_t kBodyBytes = 33554432;
+    int sentResponses = 0;
+    std::size_t cutOffBytes = 0;
+    std::unique_ptr<HttpAcceptor> acceptor;
+};
+
+/// Reads in steps of a socket buffer, with a pause after each, until the response is complete.
+void readInSteps(Client& client, std::chrono::milliseconds pause, std::size_t steps)
+{
+    for (std::size_t i = 0; i < steps; ++i) {
+        client.stream->pauseReading(true);
+        runFor(pause);
+        const auto before = client.received.size();
+        client.stream->pauseReading(false);
+        REQUIRE(runUntil([&] { return client.received.size() >= before + 1048576 || client.hasEnded; }));
+    }
+}
+
 /// Handler that leaves its request without a response.
 struct PendingRequest : HttpRequestHandler {
     PendingRequest(bool& hasDisconnected)
@@ -187,3 +230,78 @@
     client.waitForEnd();
     CHECK(client.received.find("\r\n0\r\n") == std::string::npos);
 }
+
+// Guards against a planned stop that cuts off answers to slow callers.
+TEST_CASE("a connection is busy until its response is sent to a slow client, and is not closed before [server]")
+{
+    LargeResponseServer server({}, true);
+    Client client(server.acceptor->address());
+    client.stream->pauseReading(true);
+    client.stream->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(runUntil([&] { return server.acceptor->connections() == 1; }));
+    // Longer than a client has to close its side after its response was sent.
+    runFor(1200ms);
+    CHECK(server.acceptor->busyConnections() == 1);
+    server.acceptor->closeIdleConnections();
+    client.stream->pauseReading(false);
+    client.waitForEnd();
+    CHECK(client.received.size() > LargeResponseServer::kBodyBytes);
+    CHECK(server.acceptor->busyConnections() == 0);
+    CHECK(server.sentResponses == 1);
+    CHECK(server.cutOffBytes == 0);
+}
+
+TEST_CASE("the idle timeout begins when a response is sent, so a slow client gets all of it [server]")
+{
+    constexpr auto kIdleTimeout = 200ms;
+    LargeResponseServer server({ .idleTimeout = kIdleTimeout });
+    Client client(server.acceptor->address());
+    client.stream->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    readInSteps(client, 80ms, 8);
+    REQUIRE(runUntil([&] { return client.received.size() > LargeResponseServer::kBodyBytes || client.hasEnded; }));
+    CHECK_FALSE(client.hasEnded);
+    client.stream->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(runUntil([&] { return client.received.size() > 2 * LargeResponseServer::kBodyBytes; }));
+}
+
+TEST_CASE("a client that reads nothing of its response for the idle timeout is disconnected, and the handler is told [server]")
+{
+    constexpr auto kIdleTimeout = 200ms;
+    LargeResponseServer server({ .idleTimeout = kIdleTimeout });
+    Client client(server.acceptor->address());
+    client.stream->pauseReading(true);
+    client.stream->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(runUntil([&] { return server.acceptor->busyConnections() == 1; }));
+    const auto start = MonotonicClock::now();
+    REQUIRE(runUntil([&] { return server.acceptor->connections() == 0; }));
+    CHECK(MonotonicClock::now() - start < 4 * kIdleTimeout);
+    CHECK(server.sentResponses == 0);
+    CHECK(server.cutOffBytes > LargeResponseServer::kBodyBytes / 2);
+}
+
+TEST_CASE("a client that leaves while a part of its response waits is reported as cut off, once [server]")
+{
+    LargeResponseServer server;
+    auto client = std::make_unique<Client>(server.acceptor->address());
+    client->stream->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    client->waitFor("xxxx");
+    client.reset();
+    REQUIRE(runUntil([&] { return server.acceptor->connections() == 0; }));
+    const auto cutOff = server.cutOffBytes;
+    CHECK(cutOff > 0);
+    server.acceptor->reportCutOffResponses("the process ends");
+    CHECK(server.cutOffBytes == cutOff);
+}
+
+TEST_CASE("pipelined requests behind a response that a slow client does not read wait for it [server]")
+{
+    LargeResponseServer server;
+    Client client(server.acceptor->address());
+    client.stream->pauseReading(true);
+    client.stream->send("GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    runFor(200ms);
+    CHECK(server.acceptor->busyConnections() == 1);
+    client.stream->pauseReading(false);
+    REQUIRE(runUntil([&] { return client.received.size() > 2 * LargeResponseServer::kBodyBytes; }));
+    REQUIRE(runUntil([&] { return server.acceptor->busyConnections() == 0; }));
+}
