Send nothing after the head of a response without a body

Cause: HttpServerConnection framed each streamed response in chunks, whatever its status, and left only HEAD out. Ruled out: the engine's own bytes (its 204 ends with its head). By RFC 9112, 6.3, a response with status 1xx, 204 or 304 ends with its head.

Both ways to respond now ask the same question; such a response bears neither Content-Length nor Transfer-Encoding.

--- a/src/hornbeamgate/runtime/net/http_server_connection.cpp
+++ b/src/hornbeamgate/runtime/net/http_server_connection.cpp
@@ -10,9 +10,18 @@
     constexpr int kHeadTooLarge = 431;
     /// Limit on buffered bytes of pipelined requests while a request is in progress; reading pauses above it.
     constexpr std::size_t kMaxPendingBytes = 65536;
+    constexpr int kFirstFinalStatus = 200;
+    constexpr int kNoContent = 204;
+    constexpr int kNotModified = 304;
     /// Time that a client has to close its side after the last response.
     constexpr std::chrono::milliseconds kLingerTimeout { 1000 };
 
+    /// Whether responses with this status end with their heads (RFC 9112, 6.3).
+    bool isBodyless(int status)
+    {
+        return status < kFirstFinalStatus || status == kNoContent || status == kNotModified;
+    }
+
 } // namespace
 
 HttpServerConnection::HttpServerConnection(std::unique_ptr<TcpStream> stream, const Host& host)
@@ -91,13 +100,15 @@
 
 void HttpServerConnection::answer(int status, HttpFields fields, std::string_view body)
 {
-    fields.add("Content-Length", std::to_string(body.size()));
+    m_hasNoBody = m_isHeadRequest || isBodyless(status);
+    if (!isBodyless(status))
+        fields.add("Content-Length", std::to_string(body.size()));
     if (m_host.isClosing())
         m_keepsAlive = false;
     if (!m_keepsAlive)
         fields.add("Connection", "close");
     auto text = responseHeadText(status, fields);
-    if (!m_isHeadRequest)
+    if (!m_hasNoBody)
         text += body;
     m_stream->send(text);
     completeResponse();
@@ -105,7 +116,9 @@
 
 void HttpServerConnection::beginResponse(int status, HttpFields fields)
 {
-    fields.add("Transfer-Encoding", "chunked");
+    m_hasNoBody = m_isHeadRequest || isBodyless(status);
+    if (!isBodyless(status))
+        fields.add("Transfer-Encoding", "chunked");
     if (m_host.isClosing())
         m_keepsAlive = false;
     if (!m_keepsAlive)
@@ -115,13 +128,13 @@
 
 void HttpServerConnection::sendChunk(std::string_view octets)
 {
-    if (!m_isHeadRequest)
+    if (!m_hasNoBody)
         m_stream->send(chunkText(octets));
 }
 
 void HttpServerConnection::finishResponse()
 {
-    if (!m_isHeadRequest)
+    if (!m_hasNoBody)
         m_stream->send(kLastChunk);
     completeResponse();
 }
--- a/src/hornbeamgate/runtime/net/http_server_connection.hpp
+++ b/src/hornbeamgate/runtime/net/http_server_connection.hpp
@@ -100,6 +100,7 @@
     bool m_isReadingRequest = false;
     bool m_keepsAlive = true;
     bool m_isHeadRequest = false;
+    bool m_hasNoBody = false; ///< no bytes follow the head of the current response, whatever its fields say
     bool m_isSendingRest = false; ///< the response is complete, and a part of it waits for the client to read
     std::size_t m_unsentBefore = 0; ///< bytes that waited when the timer was set last
     bool m_isFinishing = false; ///< no further input is processed
--- a/tests/net/http_server_connection.test.cpp
+++ b/tests/net/http_server_connection.test.cpp
@@ -305,3 +305,64 @@
     REQUIRE(runUntil([&] { return client.received.size() > 2 * LargeResponseServer::kBodyBytes; }));
     REQUIRE(runUntil([&] { return server.acceptor->busyConnections() == 0; }));
 }
+
+// Guards against bytes that belong to no response, such as a last chunk after a response without a body.
+TEST_CASE("the next response on a connection follows a response without a body at once [server]")
+{
+    struct Case {
+        std::string method;
+        int status;
+        bool isBuffered;
+    };
+    std::vector<Case> cases;
+    for (const std::string method : { "GET", "HEAD" }) {
+        for (const int status : { 200, 204, 205, 304, 404 }) {
+            cases.push_back({ method, status, true });
+            cases.push_back({ method, status, false });
+        }
+    }
+    for (const auto& example : cases) {
+        CAPTURE(example.method);
+        CAPTURE(example.status);
+        CAPTURE(example.isBuffered);
+        bool hasDisconnected = false;
+        HttpServerConnection* connection = nullptr;
+        auto acceptor = HttpAcceptor::create({ "127.0.0.1", 0 }, { [&](HttpServerConnection& accepted, const HttpRequestMessage&) -> std::unique_ptr<HttpRequestHandler> {
+                                                                      connection = &accepted;
+                                                                      return std::make_unique<PendingRequest>(hasDisconnected);
+                                                                  },
+                                                                     {}, {} });
+        REQUIRE(acceptor);
+        std::vector<int> statuses;
+        auto parser = HttpParser::forResponses({}, { {}, [&](const HttpResponseHead& head) { statuses.push_back(head.status); }, [](std::string_view) {}, [] {} });
+        Client client((*acceptor)->address());
+        for (const bool isFirst : { true, false }) {
+            connection = nullptr;
+            client.received.clear();
+            client.stream->send((isFirst ? example.method : "GET") + " / HTTP/1.1\r\nHost: h\r\n\r\n");
+            REQUIRE(runUntil([&] { return connection != nullptr; }));
+            if (!isFirst)
+                connection->answer(299, {}, "next");
+            else if (example.isBuffered)
+                connection->answer(example.status, {}, {});
+            else {
+                connection->beginResponse(example.status, {});
+                connection->sendChunk({});
+                connection->finishResponse();
+            }
+            if (isFirst) {
+                client.waitFor("\r\n\r\n");
+                runFor(5ms);
+                // The parser would read a chunked body after any status.
+                const bool isBodyless = example.method == "HEAD" || example.status == 204 || example.status == 304;
+                CHECK((!isBodyless || client.received.find("\r\n\r\n") + 4 == client.received.size()));
+            } else
+                client.waitFor("next");
+            parser->expectNoBody(isFirst && example.method == "HEAD");
+            const auto taken = parser->feed(client.received);
+            REQUIRE(taken);
+            CHECK(*taken == client.received.size());
+        }
+        CHECK(statuses == std::vector { example.status, 299 });
+    }
+}
