Ask one function which statuses have no body

The mend of the 204 on a streaming route had written the parser's rule on 204 and 304 again. Both ask isBodylessStatus now; the parser still takes 101 for the end of the connection, as before.

--- a/src/hornbeamgate/runtime/net/http_message.cpp
+++ b/src/hornbeamgate/runtime/net/http_message.cpp
@@ -124,6 +124,14 @@
     return text;
 }
 
+bool isBodylessStatus(int status)
+{
+    constexpr int kFirstFinalStatus = 200;
+    constexpr int kNoContent = 204;
+    constexpr int kNotModified = 304;
+    return status < kFirstFinalStatus || status == kNoContent || status == kNotModified;
+}
+
 std::string responseHeadText(int status, const HttpFields& fields)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + ' ';
--- a/src/hornbeamgate/runtime/net/http_message.hpp
+++ b/src/hornbeamgate/runtime/net/http_message.hpp
@@ -62,6 +62,9 @@
 void removeHopByHopFields(HttpFields& fields);
 
 std::string requestText(const HttpRequestHead& head, std::string_view body);
+/// Returns whether responses with this status end with their heads, whatever their fields say (RFC 9112, 6.3).
+bool isBodylessStatus(int status);
+
 std::string responseHeadText(int status, const HttpFields& fields);
 std::string_view statusPhrase(int status);
 /// Encodes one chunk of a chunked body. Returns nothing for empty data, because an empty chunk would end the body.
--- a/src/hornbeamgate/runtime/net/http_parser.cpp
+++ b/src/hornbeamgate/runtime/net/http_parser.cpp
@@ -134,9 +134,9 @@
     /// Whether the body is delimited by the end of the connection.
     static bool endsWithConnection(const http_parser& parser)
     {
-        constexpr unsigned int kNoContent = 204;
-        constexpr unsigned int kNotModified = 304;
-        if (parser.status_code == kNoContent || parser.status_code == kNotModified || (parser.flags & F_SKIPBODY))
+        // What follows a change of the protocol is no response, and ends with the connection.
+        const bool isBodyless = parser.status_code != kSwitchingProtocols && isBodylessStatus(static_cast<int>(parser.status_code));
+        if (isBodyless || (parser.flags & F_SKIPBODY))
             return false;
         return !(parser.flags & F_CHUNKED) && parser.content_length == ULLONG_MAX;
     }
--- a/src/hornbeamgate/runtime/net/http_server_connection.cpp
+++ b/src/hornbeamgate/runtime/net/http_server_connection.cpp
@@ -10,18 +10,9 @@
     constexpr int kHeadTooLarge = 431;
     /// Limit on buffered bytes of pipelined requests while a request is in progress; reading pauses above it.
     constexpr std::size_t kMaxPendingBytes = 65536;
-    constexpr int kFirstFinalStatus = 200;
-    constexpr int kNoContent = 204;
-    constexpr int kNotModified = 304;
     /// Time that a client has to close its side after the last response.
     constexpr std::chrono::milliseconds kLingerTimeout { 1000 };
 
-    /// Whether responses with this status end with their heads (RFC 9112, 6.3).
-    bool isBodyless(int status)
-    {
-        return status < kFirstFinalStatus || status == kNoContent || status == kNotModified;
-    }
-
 } // namespace
 
 HttpServerConnection::HttpServerConnection(std::unique_ptr<TcpStream> stream, const Host& host)
@@ -100,8 +91,8 @@
 
 void HttpServerConnection::answer(int status, HttpFields fields, std::string_view body)
 {
-    m_hasNoBody = m_isHeadRequest || isBodyless(status);
-    if (!isBodyless(status))
+    m_hasNoBody = m_isHeadRequest || isBodylessStatus(status);
+    if (!isBodylessStatus(status))
         fields.add("Content-Length", std::to_string(body.size()));
     if (m_host.isClosing())
         m_keepsAlive = false;
@@ -116,8 +107,8 @@
 
 void HttpServerConnection::beginResponse(int status, HttpFields fields)
 {
-    m_hasNoBody = m_isHeadRequest || isBodyless(status);
-    if (!isBodyless(status))
+    m_hasNoBody = m_isHeadRequest || isBodylessStatus(status);
+    if (!isBodylessStatus(status))
         fields.add("Transfer-Encoding", "chunked");
     if (m_host.isClosing())
         m_keepsAlive = false;
--- a/tests/net/http_exchange.test.cpp
+++ b/tests/net/http_exchange.test.cpp
@@ -56,6 +56,16 @@
     return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + extra + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// Completes an exchange "one", which leaves the server's first connection in the pool.
+std::unique_ptr<ExchangeRecorder> completeFirst(HttpConnectionPool& pool, ScriptedServer& server)
+{
+    auto first = std::make_unique<ExchangeRecorder>(pool, server.address(), "one");
+    server.waitFor(0, "/one");
+    server.send(0, answer("one", "x"));
+    first->waitForEnd();
+    return first;
+}
+
 } // namespace
 
 TEST_CASE("a connection is reused after a complete response [exchange]")
@@ -78,10 +88,7 @@
 {
     ScriptedServer server;
     HttpConnectionPool pool;
-    ExchangeRecorder first(pool, server.address(), "one");
-    server.waitFor(0, "/one");
-    server.send(0, answer("one", "x"));
-    first.waitForEnd();
+    const auto first = completeFirst(pool, server);
     ExchangeRecorder second(pool, server.address(), "two");
     server.waitFor(0, "/two");
     server.drop(0);
@@ -95,10 +102,7 @@
 {
     ScriptedServer server;
     HttpConnectionPool pool;
-    ExchangeRecorder first(pool, server.address(), "one");
-    server.waitFor(0, "/one");
-    server.send(0, answer("one", "x"));
-    first.waitForEnd();
+    const auto first = completeFirst(pool, server);
     ExchangeRecorder second(pool, server.address(), "two");
     server.waitFor(0, "/two");
     server.send(0, answer("one", "again") + answer("two", "mine"));
@@ -125,10 +129,7 @@
 {
     ScriptedServer server;
     HttpConnectionPool pool;
-    ExchangeRecorder first(pool, server.address(), "one");
-    server.waitFor(0, "/one");
-    server.send(0, answer("one", "x"));
-    first.waitForEnd();
+    const auto first = completeFirst(pool, server);
     server.send(0, answer("one", "unexpected"));
     // Lets the data arrive before the next iteration of the loop, after which the pool has been told of it.
     std::this_thread::sleep_for(50ms);
@@ -346,11 +347,8 @@
 {
     ScriptedServer server;
     HttpConnectionPool pool;
-    ExchangeRecorder first(pool, server.address(), "one");
-    server.waitFor(0, "/one");
-    server.send(0, answer("one", "x"));
-    first.waitForEnd();
-    const auto used = first.exchange->connection();
+    const auto first = completeFirst(pool, server);
+    const auto used = first->exchange->connection();
     REQUIRE(used);
     ExchangeRecorder again(pool, server.address(), "one", MonotonicClock::now() + 5s, { *used });
     server.waitFor(1, "/one");
--- a/tests/net/http_server_connection.test.cpp
+++ b/tests/net/http_server_connection.test.cpp
@@ -94,6 +94,24 @@
     bool& m_hasDisconnected;
 };
 
+/// Server whose last request the test answers.
+struct ManualServer {
+    ManualServer()
+    {
+        auto created = HttpAcceptor::create({ "127.0.0.1", 0 }, { [this](HttpServerConnection& accepted, const HttpRequestMessage&) -> std::unique_ptr<HttpRequestHandler> {
+                                                                     connection = &accepted;
+                                                                     return std::make_unique<PendingRequest>(hasDisconnected);
+                                                                 },
+                                                                    {}, {} });
+        REQUIRE(created);
+        acceptor = std::move(*created);
+    }
+
+    bool hasDisconnected = false;
+    HttpServerConnection* connection = nullptr;
+    std::unique_ptr<HttpAcceptor> acceptor;
+};
+
 std::unique_ptr<HttpAcceptor> echoServer(HttpServerLimits limits = {})
 {
     auto acceptor = HttpAcceptor::create({ "127.0.0.1", 0 }, { respondImmediately([](const HttpRequestMessage& message) -> HttpSimpleResponse {
@@ -212,15 +230,9 @@
 
 TEST_CASE("an aborted response does not appear complete to the client [server]")
 {
-    bool hasDisconnected = false;
-    HttpServerConnection* connection = nullptr;
-    auto acceptor = HttpAcceptor::create({ "127.0.0.1", 0 }, { [&](HttpServerConnection& accepted, const HttpRequestMessage&) -> std::unique_ptr<HttpRequestHandler> {
-                                                                  connection = &accepted;
-                                                                  return std::make_unique<PendingRequest>(hasDisconnected);
-                                                              },
-                                                                 {}, {} });
-    REQUIRE(acceptor);
-    Client client((*acceptor)->address());
+    ManualServer server;
+    auto& connection = server.connection;
+    Client client(server.acceptor->address());
     client.stream->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     REQUIRE(runUntil([&] { return connection != nullptr; }));
     connection->beginResponse(200, {});
@@ -325,17 +337,11 @@
         CAPTURE(example.method);
         CAPTURE(example.status);
         CAPTURE(example.isBuffered);
-        bool hasDisconnected = false;
-        HttpServerConnection* connection = nullptr;
-        auto acceptor = HttpAcceptor::create({ "127.0.0.1", 0 }, { [&](HttpServerConnection& accepted, const HttpRequestMessage&) -> std::unique_ptr<HttpRequestHandler> {
-                                                                      connection = &accepted;
-                                                                      return std::make_unique<PendingRequest>(hasDisconnected);
-                                                                  },
-                                                                     {}, {} });
-        REQUIRE(acceptor);
+        ManualServer server;
+        auto& connection = server.connection;
         std::vector<int> statuses;
         auto parser = HttpParser::forResponses({}, { {}, [&](const HttpResponseHead& head) { statuses.push_back(head.status); }, [](std::string_view) {}, [] {} });
-        Client client((*acceptor)->address());
+        Client client(server.acceptor->address());
         for (const bool isFirst : { true, false }) {
             connection = nullptr;
             client.received.clear();
