Decode load reports with further figures and the version of an endpoint

Engines that share their machines state a fourth figure in their load header. The parser took exactly three, so every report of such a service was dropped without a log line. It now takes three or more, bounds them, and a report that cannot be decoded is logged as load_unreadable.

The settings list `contracts` and OverloadControl say for which services later parts take effect: the `pressure` contract, or engines that state the fourth figure.

--- a/src/hornbeamgate/gateway/endpoint_loads.cpp
+++ b/src/hornbeamgate/gateway/endpoint_loads.cpp
@@ -20,6 +20,8 @@
     constexpr std::chrono::milliseconds kInitialBackoff { 500 };
     /// Upper bound of the backoff; a recovered endpoint receives requests again after at most this time.
     constexpr std::chrono::milliseconds kMaxBackoff { 4000 };
+    /// An endpoint repeats an unreadable report in every response.
+    constexpr std::chrono::seconds kUnreadableLogInterval { 10 };
 
 } // namespace
 
@@ -78,6 +80,15 @@
     state.reportedAt = now;
 }
 
+bool EndpointLoads::shouldLogUnreadable(const EndpointId& id, MonotonicTime now)
+{
+    auto& state = m_endpoints[id];
+    if (now < state.unreadableLoggedUntil)
+        return false;
+    state.unreadableLoggedUntil = now + kUnreadableLogInterval;
+    return true;
+}
+
 void EndpointLoads::unreachable(const EndpointId& id, MonotonicTime now)
 {
     auto& state = m_endpoints[id];
--- a/src/hornbeamgate/gateway/endpoint_loads.hpp
+++ b/src/hornbeamgate/gateway/endpoint_loads.hpp
@@ -14,6 +14,8 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    /// Time that work takes on the endpoint's machine now, in per cent of the usual; stated where machines are shared.
+    std::optional<int> slowdownPercent {};
 };
 
 /// Outcome of a send to an endpoint, as used for its health.
@@ -42,6 +44,8 @@
     int timesOvertaken(const EndpointId& id, std::uint64_t number) const;
     void finished(const EndpointId& id, std::uint64_t number, SendOutcome outcome, MonotonicTime now);
     void reported(const EndpointId& id, const LoadReport& report, MonotonicTime now);
+    /// Returns whether a load report of the endpoint that cannot be decoded should be logged: once in `kUnreadableLogInterval`.
+    bool shouldLogUnreadable(const EndpointId& id, MonotonicTime now);
     /// Records that no connection to the endpoint could be opened.
     void unreachable(const EndpointId& id, MonotonicTime now);
 
@@ -87,6 +91,7 @@
         int consecutiveFailures = 0;
         MonotonicTime avoidedUntil {};
         MonotonicTime pausedUntil {};
+        MonotonicTime unreadableLoggedUntil {};
     };
 
     void recordFailure(State& state, MonotonicTime now);
--- a/src/hornbeamgate/gateway/endpoint_registry.hpp
+++ b/src/hornbeamgate/gateway/endpoint_registry.hpp
@@ -16,6 +16,7 @@
     EndpointId id;
     Incarnation incarnation; ///< start time of the process as a Unix time in milliseconds
     ServiceId service;
+    std::string version; ///< of the software; empty if not stated
     SocketAddress address;
     DataCenterId dataCenter;
     int slots = 1; ///< number of requests that it runs concurrently
--- a/src/hornbeamgate/observability/log.cpp
+++ b/src/hornbeamgate/observability/log.cpp
@@ -61,6 +61,8 @@
         EventEntry { LogEvent::EndpointLimited, "endpoint_limited", LogLevel::Info },
         EventEntry { LogEvent::EndpointPaused, "endpoint_paused", LogLevel::Info },
         EventEntry { LogEvent::AdviceUnreadable, "advice_unreadable", LogLevel::Warning },
+        EventEntry { LogEvent::LoadUnreadable, "load_unreadable", LogLevel::Warning },
+        EventEntry { LogEvent::OverloadControlChanged, "overload_control_changed", LogLevel::Info },
         EventEntry { LogEvent::RateChanged, "rate_changed", LogLevel::Info },
         EventEntry { LogEvent::CacheDomainsChanged, "cache_domains_changed", LogLevel::Info },
         EventEntry { LogEvent::WeightsNamed, "weights_named", LogLevel::Info },
--- a/src/hornbeamgate/observability/log.hpp
+++ b/src/hornbeamgate/observability/log.hpp
@@ -48,6 +48,8 @@
     EndpointLimited,
     EndpointPaused,
     AdviceUnreadable,
+    LoadUnreadable,
+    OverloadControlChanged,
     RateChanged,
     CacheDomainsChanged,
     WeightsNamed,
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -373,8 +373,7 @@
 {
     const auto now = MonotonicClock::now();
     m_responseMetadata = m_state.wire.decodeResponse(head);
-    if (m_responseMetadata.load)
-        m_state.loads.reported(m_endpoint, *m_responseMetadata.load, now);
+    recordLoad(now);
     if (m_responseMetadata.weights && m_metadata.model)
         m_state.registry.recordWeights(m_endpoint, *m_metadata.model, *m_responseMetadata.weights);
     if (m_route->isStreaming && head.status / kStatusClass == kSuccessClass && m_responseMetadata.isSigned)
@@ -383,6 +382,17 @@
     recordAdvice(now);
 }
 
+void GatewayRequest::recordLoad(MonotonicTime now)
+{
+    const auto& load = m_responseMetadata.load;
+    if (load)
+        m_state.loads.reported(m_endpoint, *load, now);
+    if (load && load->slowdownPercent && m_state.overload.recordSharedMachine(m_service))
+        logEvent(LogEvent::OverloadControlChanged, { { "service", m_service.value() }, { "endpoint", m_endpoint.value() }, { "slowdown_percent", *load->slowdownPercent } });
+    if (!m_responseMetadata.unreadableLoad.empty() && m_state.loads.shouldLogUnreadable(m_endpoint, now))
+        logEvent(LogEvent::LoadUnreadable, { { "endpoint", m_endpoint.value() }, { "field", m_responseMetadata.unreadableLoad } });
+}
+
 void GatewayRequest::recordAdvice(MonotonicTime now)
 {
     // Another engine at the same address speaks for itself, and an intermediary for no engine.
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -63,6 +63,7 @@
     PlacementRequest makePlacementRequest(MonotonicTime now) const;
 
     void onHead(HttpResponseHead head);
+    void recordLoad(MonotonicTime now);
     /// Records what the engine asks for in its response.
     void recordAdvice(MonotonicTime now);
     void recordPause(const EndpointInstance& endpoint, MonotonicTime now);
--- a/src/hornbeamgate/runtime/gateway/gateway_state.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_state.hpp
@@ -3,6 +3,7 @@
 #include "hornbeamgate/gateway/endpoint_advisories.hpp"
 #include "hornbeamgate/gateway/endpoint_loads.hpp"
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
+#include "hornbeamgate/gateway/overload_control.hpp"
 #include "hornbeamgate/gateway/peer_table.hpp"
 #include "hornbeamgate/gateway/placement.hpp"
 #include "hornbeamgate/gateway/prompt_quarantine.hpp"
@@ -20,11 +21,15 @@
 
 namespace hornbeamgate::gateway {
 
+/// Contract under which callers compete for capacity.
+inline constexpr const char* kOverloadContract = "pressure";
+
 /// State shared by the tasks of a gateway daemon. All tasks run on the same main loop.
 struct GatewayState {
     GatewayState(const GatewaySettings& configured, const WireFormat& format)
         : settings(configured)
         , wire(format)
+        , overload(configured.contracts.contains(kOverloadContract))
         , advisories(configured.common.host)
         , placer(DaemonLocation { configured.common.dataCenter, configured.common.region, configured.regions })
         , weightsRollout(configured.common.host, configured.leaderLease, configured.weightsBound)
@@ -51,6 +56,7 @@
     std::shared_ptr<const RouteTable> routes; ///< null until the first configuration is received; shared with requests in progress
     std::optional<MonotonicTime> configConfirmedAt; ///< last time the store reported all operators' records
     EndpointRegistry registry;
+    OverloadControl overload;
     EndpointLoads loads;
     EndpointAdvisories advisories;
     BlockDirectory blocks;
--- a/src/hornbeamgate/runtime/gateway/wire_format.hpp
+++ b/src/hornbeamgate/runtime/gateway/wire_format.hpp
@@ -44,6 +44,7 @@
     std::string requestId;
     EndpointId endpoint; ///< empty if not specified
     std::optional<LoadReport> load;
+    std::string unreadableLoad; ///< load report that could not be decoded; empty if there is none
     std::optional<WeightsVersion> weights;
     EndpointAdvice advice;
     std::string unreadableAdvice; ///< advice that could not be decoded; empty if there is none
--- a/src/hornbeamgate/settings/gateway_settings.cpp
+++ b/src/hornbeamgate/settings/gateway_settings.cpp
@@ -42,6 +42,8 @@
         settings.rateWindow = reader.milliseconds("rate_window_ms", kTimeoutRange, kDefaultRateWindow);
         settings.weightsBound = reader.milliseconds("weights_bound_ms", kTimeoutRange, kDefaultWeightsBound);
         settings.minMembershipLifetime = reader.milliseconds("least_membership_ms", kTimeoutRange, kDefaultMinMembershipLifetime);
+        for (auto& contract : reader.texts("contracts"))
+            settings.contracts.insert(std::move(contract));
         settings.leaderLease = reader.milliseconds("duty_lease_ms", kTimeoutRange, kDefaultLeaderLease);
         return settings;
     }
--- a/src/hornbeamgate/settings/gateway_settings.hpp
+++ b/src/hornbeamgate/settings/gateway_settings.hpp
@@ -4,6 +4,8 @@
 #include "hornbeamgate/settings/common_settings.hpp"
 
 #include <map>
+#include <set>
+#include <string>
 
 namespace hornbeamgate {
 
@@ -20,6 +22,7 @@
     Duration rateWindow {}; ///< window in which the rates of the workspaces hold over all daemons
     Duration weightsBound {}; ///< maximum time from a change of a model's weights until no new request starts on older ones
     Duration minMembershipLifetime {}; ///< shortest lifetime of a group membership that the store accepts
+    std::set<std::string> contracts; ///< contracts in force; a contract may enable a feature
     Duration leaderLease {}; ///< minimum time between orders from two different daemons to the same engine
 };
 
--- a/tests/platform/settings_template.test.cpp
+++ b/tests/platform/settings_template.test.cpp
@@ -25,6 +25,7 @@
         { "{{internal-port-range.1}}", "7615" },
         { "{{platform.address|json}}", "\"10.200.1.7:8601\"" },
         { "{{#zones}}\"{{@}} {{.}}\"{{,}}{{/zones}}", "\"postojna notranjska\",\"sezana primorska\"" },
+        { "{{#contracts}}{{.|json}}{{,}}{{/contracts}}", "\"base\",\"pressure\"" },
         { "{{bounds.retry-budget-ratio|json}}", "0.2" },
         { "{{bounds.budget-slack|json}}", "56" },
         { "{{bounds.budget-window-s}}", "10" },
@@ -72,6 +73,7 @@
     CHECK(settings->common.drainTimeout < 6s);
     CHECK(settings->common.drainTimeout >= 5s);
     CHECK(settings->weightsBound == 10s);
+    CHECK(settings->contracts == std::set<std::string> { "base", "pressure" });
 }
 
 TEST_CASE("errors in gateway settings name the field and the allowed values [settings]")
--- a/tests/platform/wire_format.test.cpp
+++ b/tests/platform/wire_format.test.cpp
@@ -136,6 +136,34 @@
     CHECK_FALSE(wire.decodeResponse({}).isSigned);
 }
 
+TEST_CASE("a load report may have further figures; one that cannot be decoded is named, not dropped silently [platform]")
+{
+    // Every report of engines on shared machines was thrown away, because it has four figures.
+    const platform::PlatformWireFormat wire;
+    const auto decode = [&wire](const std::string& value) {
+        HttpResponseHead head { 200, {} };
+        head.fields.add("X-Hornbeamgate-Server-Load", value);
+        return wire.decodeResponse(head);
+    };
+    const auto shared = decode("3,1,8,250");
+    REQUIRE(shared.load);
+    CHECK(shared.load->running == 3);
+    CHECK(shared.load->slots == 8);
+    CHECK(shared.load->slowdownPercent == 250);
+    CHECK(decode("3,1,8,100,7").load->slowdownPercent == 100);
+    for (const auto* text : { "3,1,8", "3,1,8,", "3,1,8,x", "3,1,8,0", "3,1,8,-5", "3,1,8,99999999999" }) {
+        CAPTURE(text);
+        REQUIRE(decode(text).load);
+        CHECK_FALSE(decode(text).load->slowdownPercent);
+        CHECK(decode(text).unreadableLoad.empty());
+    }
+    for (const auto* text : { "", "3", "3,1", "3,,8", "-1,0,8", "3,1,-8", "3,1,x,100", "1000000,0,8", "99999999999,1,8" }) {
+        CAPTURE(text);
+        CHECK_FALSE(decode(text).load);
+        CHECK(decode(text).unreadableLoad == "X-Hornbeamgate-Server-Load: " + std::string(text));
+    }
+}
+
 TEST_CASE("a refusal contains the request id and the retry time [platform]")
 {
     const platform::PlatformWireFormat wire;
