Place requests by what engines can still answer in time under overload

Where the settings name the contract `pressure`, or a service's engines state their machines' slowdown: short prompts are compared at six sampled engines, lateness beyond the objective has a cost, long prompts wait only while they can be in time, a gateway keeps to its share while few engines have room, and a fifth of the engines load weights at a time. EngineSpeeds learns prefill rates and slowdowns. Elsewhere nothing changes.

--- a/src/hornbeamgate/gateway/endpoint_loads.cpp
+++ b/src/hornbeamgate/gateway/endpoint_loads.cpp
@@ -10,8 +10,6 @@
 
     /// Half-life of the reported load of other daemons; spans several request lifetimes.
     constexpr std::chrono::milliseconds kPeerLoadHalfLife { 400 };
-    /// Peers report several times a second, and prefill takes some hundred milliseconds.
-    constexpr std::chrono::milliseconds kPeerTokensTimeout { 600 };
     /// Smoothing factor of the failure rate; the last ten sends account for most of it.
     constexpr double kFailureSmoothing = 0.15;
     /// Consecutive failures after which an endpoint is avoided; single failures are common.
@@ -129,12 +127,21 @@
     }
     for (const auto& [peer, reported] : m_peerTokens) {
         const auto found = reported.tokens.find(id);
-        if (found != reported.tokens.end() && now < reported.reportedAt + kPeerTokensTimeout)
+        if (found != reported.tokens.end() && now < reported.reportedAt + m_peerTokensTimeout)
             tokens += found->second;
     }
     return tokens;
 }
 
+std::size_t EndpointLoads::localUnreadPrompts(const EndpointId& id, std::int64_t tokens) const
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end())
+        return 0;
+    const auto& unanswered = found->second.unanswered;
+    return static_cast<std::size_t>(std::count_if(unanswered.begin(), unanswered.end(), [tokens](const auto& send) { return !send.second.hasBegun && send.second.tokens >= tokens; }));
+}
+
 std::map<EndpointId, std::int64_t> EndpointLoads::localPendingPrefillTokens() const
 {
     std::map<EndpointId, std::int64_t> tokens;
--- a/src/hornbeamgate/gateway/endpoint_loads.hpp
+++ b/src/hornbeamgate/gateway/endpoint_loads.hpp
@@ -35,6 +35,9 @@
 /// Designed for endpoints that fail or stall part of their requests while their health check passes.
 class EndpointLoads {
 public:
+    /// Peers report several times a second, and prefill takes some hundred milliseconds.
+    static constexpr std::chrono::milliseconds kPeerTokensTimeout { 600 };
+
     /// Records a send of a request with `tokens` prompt tokens to prefill. `number` identifies the send in later calls.
     void sent(const EndpointId& id, std::uint64_t number, std::int64_t tokens, MonotonicTime now);
     /// Records that the response has started, so prefill is complete.
@@ -57,8 +60,12 @@
     double load(const EndpointId& id, MonotonicTime now) const;
     /// Returns the prompt tokens waiting for prefill at the endpoint, from this daemon's sends and from peer reports.
     std::int64_t pendingPrefillTokens(const EndpointId& id, MonotonicTime now) const;
+    /// Returns how many of this daemon's sends with at least `tokens` prompt tokens wait for prefill at the endpoint.
+    std::size_t localUnreadPrompts(const EndpointId& id, std::int64_t tokens) const;
     /// Returns the prompt tokens of this daemon's sends that wait for prefill, by endpoint.
     std::map<EndpointId, std::int64_t> localPendingPrefillTokens() const;
+    /// Sets how long peers' tokens count. Where it is shorter than the interval of the reports, engines look idle in between.
+    void setPeerTokensTimeout(Duration timeout) { m_peerTokensTimeout = timeout; }
     /// Sets the prompt tokens that wait for prefill according to a peer. They expire unless they are reported again soon.
     void setPeerPendingPrefillTokens(const HostId& peer, const std::map<EndpointId, std::int64_t>& tokens, MonotonicTime now);
     /// Returns the share of recent sends that failed, from 0 to 1.
@@ -98,6 +105,7 @@
 
     std::map<EndpointId, State> m_endpoints;
     std::map<HostId, PeerTokens> m_peerTokens;
+    Duration m_peerTokensTimeout = kPeerTokensTimeout;
 };
 
 } // namespace hornbeamgate::gateway
--- a/src/hornbeamgate/gateway/overload_control.hpp
+++ b/src/hornbeamgate/gateway/overload_control.hpp
@@ -17,6 +17,7 @@
 
     /// Records that an engine of the service states how much its machine is slowed down. Returns true if this was not known.
     bool recordSharedMachine(const ServiceId& service) { return m_sharedServices.insert(service).second; }
+    bool isAnyOn() const { return m_isAlwaysOn || !m_sharedServices.empty(); }
     bool isOn(const ServiceId& service) const { return m_isAlwaysOn || m_sharedServices.contains(service); }
 
 private:
--- a/src/hornbeamgate/gateway/placement.cpp
+++ b/src/hornbeamgate/gateway/placement.cpp
@@ -3,6 +3,8 @@
 #include "hornbeamgate/base/hash.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <functional>
 
 namespace hornbeamgate::gateway {
 
@@ -55,16 +57,22 @@
     /// Share of an engine's slots reserved for short prompts, which would otherwise preempt long ones.
     constexpr double kSlotShareForShortPrompts = 0.25;
 
+    /// Long prompts per engine that all daemons together send while few engines have room: one in prefill, and half of one waits.
+    constexpr double kLongPromptsPerEngine = 1.5;
+    /// Engines compared for a short prompt where requests compete for capacity. Two already spread the load; more find an engine
+    /// of the own region with newest weights.
+    constexpr std::size_t kSampledNewest = 4;
+    constexpr std::size_t kSampledOlder = 2;
+    /// An answer expected after this share of the objective counts as late, since the estimate may be too low.
+    constexpr double kObjectiveShare = 0.8;
+    /// Cost of lateness relative to time before the objective. A late answer is worth a fraction of one in time.
+    constexpr int kLatenessWeight = 8;
+
     Duration durationAtRate(std::int64_t tokens, double tokensPerMs)
     {
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(static_cast<double>(tokens) / tokensPerMs));
     }
 
-    Duration prefillTime(std::int64_t tokens)
-    {
-        return durationAtRate(tokens, kPrefillTokensPerMs);
-    }
-
     /// Endpoints that get no more requests now, because of what they asked for.
     struct LimitedEndpoints {
         void add(double share, std::optional<MonotonicTime> next)
@@ -110,7 +118,7 @@
     std::optional<Candidate> best;
     LimitedEndpoints limited;
     const auto size = shared.tokens + shared.ownTokens >= kLongPromptTokens ? RequestSize::Large : RequestSize::Small;
-    for (const auto* entry : entries) {
+    for (const auto* entry : comparable(entries, request, shared, view, now)) {
         if (request.tried.contains(entry->id))
             continue;
         const auto instance = instanceOf(*entry);
@@ -135,7 +143,9 @@
     }
     placement.endpoint = best->entry->id;
     placement.prefillTokens = shared.ownTokens + (shared.isWorthFetching() && best->plan.needsPrefill ? shared.tokens : 0);
-    placement.hasRoom = placement.prefillTokens < kLongPromptTokens || hasRoom(*best->entry, view.loads, now);
+    placement.hasRoom = placement.prefillTokens < kLongPromptTokens || hasRoom(*best->entry, view, now);
+    if (placement.prefillTokens >= kLongPromptTokens && placement.hasRoom)
+        placement.hasRoom = !exceedsShare(entries, request, view, now);
     if (!shared.isWorthFetching())
         return placement;
     placement.blocks = peers.at(weightsOf(*best->entry, request)).blocks;
@@ -159,6 +169,31 @@
     return entries;
 }
 
+std::vector<const EndpointEntry*> Placer::comparable(const std::vector<const EndpointEntry*>& entries, const PlacementRequest& request, const SharedPrefix& shared, const EndpointView& view, MonotonicTime now)
+{
+    if (!request.objectiveLeft || shared.isWorthFetching())
+        return entries;
+    using Ranked = std::vector<std::pair<std::uint64_t, const EndpointEntry*>>;
+    Ranked newest;
+    Ranked older;
+    for (const auto* entry : entries) {
+        if (request.tried.contains(entry->id) || view.loads.isAvoided(entry->id, now))
+            continue;
+        auto& group = weightsOf(*entry, request) < request.newestWeights ? older : newest;
+        group.emplace_back(rendezvousScore(entry->id.value(), request.sampleSeed), entry);
+    }
+    std::vector<const EndpointEntry*> sampled;
+    const auto addBest = [&sampled](Ranked& group, std::size_t limit) {
+        const auto count = std::min(limit, group.size());
+        std::partial_sort(group.begin(), group.begin() + static_cast<std::ptrdiff_t>(count), group.end(), std::greater<>());
+        for (std::size_t i = 0; i < count; ++i)
+            sampled.push_back(group[i].second);
+    };
+    addBest(newest, kSampledNewest);
+    addBest(older, kSampledOlder);
+    return sampled.empty() ? entries : sampled;
+}
+
 Placer::PeersByWeights Placer::groupByWeights(const std::vector<const EndpointEntry*>& entries, const PlacementRequest& request, const SharedPrefix& shared, const EndpointView& view, MonotonicTime now)
 {
     PeersByWeights groups;
@@ -189,13 +224,17 @@
     candidate.entry = &entry;
     if (const auto group = peers.find(weights); group != peers.end())
         candidate.plan = planBlocks(entry, shared, group->second, view, now);
-    candidate.firstAnswerTime = queueDelay(entry, view.loads, now) + candidate.plan.time + prefillTime(shared.ownTokens);
+    candidate.firstAnswerTime = queueDelay(entry, view, now) + candidate.plan.time + prefillTime(entry, shared.ownTokens, view, now);
     candidate.cost = candidate.firstAnswerTime + candidate.plan.copyCost + networkCost(entry);
     candidate.cost += std::chrono::duration_cast<Duration>(kFailurePenalty * view.loads.failureRate(entry.id));
     if (view.loads.isAvoided(entry.id, now))
         candidate.cost += kAvoidedPenalty;
     if (view.loads.oldestUnanswered(entry.id, now) > kSlowAnswerThreshold)
         candidate.cost += kSlowAnswerThreshold;
+    if (request.objectiveLeft) {
+        const auto limit = std::chrono::duration_cast<Duration>(*request.objectiveLeft * kObjectiveShare);
+        candidate.cost += kLatenessWeight * std::max(Duration::zero(), candidate.firstAnswerTime + networkCost(entry) - limit);
+    }
     if (weights < request.oldestWeights)
         candidate.cost += kOverdueWeightsPenalty;
     else if (weights < request.newestWeights)
@@ -205,7 +244,8 @@
 
 Placer::BlockPlan Placer::planBlocks(const EndpointEntry& entry, const SharedPrefix& shared, const Peers& peers, const EndpointView& view, MonotonicTime now) const
 {
-    BlockPlan plan { nullptr, true, prefillTime(shared.tokens), std::chrono::duration_cast<Duration>(prefillTime(shared.tokens) * kEvictedReuseShare) };
+    const auto sharedTime = prefillTime(entry, shared.tokens, view, now);
+    BlockPlan plan { nullptr, true, sharedTime, std::chrono::duration_cast<Duration>(sharedTime * kEvictedReuseShare) };
     bool isHeldHere = false;
     for (const auto& holder : peers.holders) {
         if (holder.endpoint == entry.id) {
@@ -270,20 +310,41 @@
     return regionOf(entry.dataCenter) == m_location.region ? Duration(kRoundTripInRegion) : Duration(kRoundTripBetweenRegions);
 }
 
-Duration Placer::queueDelay(const EndpointEntry& entry, const EndpointLoads& loads, MonotonicTime now) const
+Duration Placer::prefillTime(const EndpointEntry& entry, std::int64_t tokens, const EndpointView& view, MonotonicTime now)
+{
+    return view.speeds ? view.speeds->prefillTime(entry, tokens, now) : durationAtRate(tokens, kPrefillTokensPerMs);
+}
+
+Duration Placer::queueDelay(const EndpointEntry& entry, const EndpointView& view, MonotonicTime now) const
 {
     const auto known = m_serviceTimes.find(entry.service);
     const auto serviceTime = known == m_serviceTimes.end() ? Duration(kInitialServiceTime) : known->second;
     const double slots = std::max(1, entry.slots);
-    const double load = loads.load(entry.id, now);
+    const double load = view.loads.load(entry.id, now);
     const double ahead = std::max(0.0, load + 1 - slots);
     const double fullness = std::min(1.0, load / slots);
-    return std::chrono::duration_cast<Duration>(serviceTime * (ahead / slots) + kFullBatchSlowdown * fullness) + prefillTime(loads.pendingPrefillTokens(entry.id, now));
+    const double slowdown = view.speeds ? view.speeds->slowdown(entry, now) : 1;
+    const auto batchTime = (serviceTime * (ahead / slots) + kFullBatchSlowdown * fullness) * slowdown;
+    return std::chrono::duration_cast<Duration>(batchTime) + prefillTime(entry, view.loads.pendingPrefillTokens(entry.id, now), view, now);
+}
+
+bool Placer::hasRoom(const EndpointEntry& entry, const EndpointView& view, MonotonicTime now)
+{
+    return prefillTime(entry, view.loads.pendingPrefillTokens(entry.id, now), view, now) <= kMaxPrefillBacklog && view.loads.load(entry.id, now) + 1 <= entry.slots * (1 - kSlotShareForShortPrompts);
 }
 
-bool Placer::hasRoom(const EndpointEntry& entry, const EndpointLoads& loads, MonotonicTime now)
+bool Placer::exceedsShare(const std::vector<const EndpointEntry*>& entries, const PlacementRequest& request, const EndpointView& view, MonotonicTime now)
 {
-    return prefillTime(loads.pendingPrefillTokens(entry.id, now)) <= kMaxPrefillBacklog && loads.load(entry.id, now) + 1 <= entry.slots * (1 - kSlotShareForShortPrompts);
+    if (!request.objectiveLeft)
+        return false;
+    const auto withRoom = std::count_if(entries.begin(), entries.end(), [&](const auto* entry) { return hasRoom(*entry, view, now); });
+    if (2 * static_cast<std::size_t>(withRoom) >= entries.size())
+        return false;
+    std::size_t unread = 0;
+    for (const auto* entry : entries)
+        unread += view.loads.localUnreadPrompts(entry->id, kLongPromptTokens);
+    const double share = kLongPromptsPerEngine * static_cast<double>(entries.size()) / static_cast<double>(std::max<std::size_t>(1, request.daemons));
+    return static_cast<double>(unread) >= std::max(1.0, std::ceil(share));
 }
 
 WeightsVersion Placer::weightsOf(const EndpointEntry& entry, const PlacementRequest& request)
--- a/src/hornbeamgate/gateway/placement.hpp
+++ b/src/hornbeamgate/gateway/placement.hpp
@@ -4,6 +4,7 @@
 #include "hornbeamgate/gateway/endpoint_advisories.hpp"
 #include "hornbeamgate/gateway/endpoint_loads.hpp"
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
+#include "hornbeamgate/gateway/engine_speeds.hpp"
 #include "hornbeamgate/gateway/fleet_config.hpp"
 
 #include <cstdint>
@@ -31,6 +32,11 @@
     WeightsVersion oldestWeights; ///< oldest version of the model that may be used, unless other endpoints answer much sooner
     std::set<EndpointId> tried; ///< endpoints to which the request was already sent
     Duration timeLeft {};
+    /// Time left until the latency objective; set where requests compete for capacity, so that engines are compared by what
+    /// they can still answer in time.
+    std::optional<Duration> objectiveLeft {};
+    std::size_t daemons = 1; ///< that may be running, including this one; they share scarce capacity equally
+    std::uint64_t sampleSeed = 0; ///< selects the engines that are compared for a short prompt; differs between requests
 };
 
 /// Location of this daemon, which determines the network cost of reaching an endpoint.
@@ -46,6 +52,7 @@
     const EndpointLoads& loads;
     const EndpointAdvisories& advisories;
     const BlockDirectory& blocks;
+    const EngineSpeeds* speeds = nullptr; ///< null: all engines are assumed to have the same speed
 };
 
 /// Why no endpoint was chosen.
@@ -76,6 +83,10 @@
 ///
 /// Designed for long prompts with few shared prefixes, one of them hot, mixed with many short prompts, and for engines
 /// whose caches are empty after each change of weights.
+///
+/// Where requests compete for capacity, a short prompt is compared at a few engines only, which its seed selects: a daemon
+/// knows the load of an engine that does not answer too late, and all daemons would choose the one that looks idle. An answer
+/// after the objective costs more than one on weights that are not the newest.
 class Placer {
 public:
     explicit Placer(DaemonLocation location)
@@ -122,6 +133,8 @@
     };
 
     static std::vector<const EndpointEntry*> eligible(const PlacementRequest& request, const EndpointView& view);
+    /// Returns the engines that are compared for the request.
+    static std::vector<const EndpointEntry*> comparable(const std::vector<const EndpointEntry*>& entries, const PlacementRequest& request, const SharedPrefix& shared, const EndpointView& view, MonotonicTime now);
     static PeersByWeights groupByWeights(const std::vector<const EndpointEntry*>& entries, const PlacementRequest& request, const SharedPrefix& shared, const EndpointView& view, MonotonicTime now);
     Candidate estimate(const EndpointEntry& entry, const PlacementRequest& request, const SharedPrefix& shared, const PeersByWeights& peers, const EndpointView& view, MonotonicTime now) const;
     BlockPlan planBlocks(const EndpointEntry& entry, const SharedPrefix& shared, const Peers& peers, const EndpointView& view, MonotonicTime now) const;
@@ -130,8 +143,12 @@
     static WeightsVersion weightsOf(const EndpointEntry& entry, const PlacementRequest& request);
     Duration networkCost(const EndpointEntry& entry) const;
     /// Returns whether the endpoint can accept another long prompt now.
-    static bool hasRoom(const EndpointEntry& entry, const EndpointLoads& loads, MonotonicTime now);
-    Duration queueDelay(const EndpointEntry& entry, const EndpointLoads& loads, MonotonicTime now) const;
+    static bool hasRoom(const EndpointEntry& entry, const EndpointView& view, MonotonicTime now);
+    /// Returns whether another long prompt would exceed this daemon's share of the engines while few of them have room. Daemons
+    /// learn of each other's sends after some hundred milliseconds, and all of them would use the same engine meanwhile.
+    static bool exceedsShare(const std::vector<const EndpointEntry*>& entries, const PlacementRequest& request, const EndpointView& view, MonotonicTime now);
+    Duration queueDelay(const EndpointEntry& entry, const EndpointView& view, MonotonicTime now) const;
+    static Duration prefillTime(const EndpointEntry& entry, std::int64_t tokens, const EndpointView& view, MonotonicTime now);
 
     DaemonLocation m_location;
     std::map<ServiceId, Duration> m_serviceTimes;
--- a/src/hornbeamgate/gateway/prompt_queue.cpp
+++ b/src/hornbeamgate/gateway/prompt_queue.cpp
@@ -8,9 +8,19 @@
 
     /// Window for measuring the dispatch rate; several prompts are prefilled within it.
     constexpr std::chrono::milliseconds kRateWindow { 2000 };
+    /// A prompt may wait for at least one in this many parts of its objective.
+    constexpr int kMinQueueShare = 4;
+    /// Prompts that an engine reads until the answer: the one that another daemon sent at the same time, and its own.
+    constexpr int kPromptsBeforeAnswer = 2;
 
 } // namespace
 
+MonotonicTime PromptQueue::usefulDeadline(MonotonicTime arrived, Duration objective, Duration prefillTime, MonotonicTime deadline)
+{
+    const auto latestStart = arrived + std::max<Duration>(objective / kMinQueueShare, objective - kPromptsBeforeAnswer * prefillTime);
+    return std::min(deadline, latestStart + kMinTimeLeft);
+}
+
 Duration PromptQueue::expectedWait(MonotonicTime now) const
 {
     if (m_deadlines.empty() || now < m_nonEmptySince + kRateWindow)
--- a/src/hornbeamgate/gateway/prompt_queue.hpp
+++ b/src/hornbeamgate/gateway/prompt_queue.hpp
@@ -26,6 +26,10 @@
     /// about 0.45 s for a long prompt, and serves short prompts in between.
     static constexpr std::chrono::milliseconds kMinTimeLeft { 1000 };
 
+    /// Returns the deadline with which a request waits where requests compete for capacity: a prompt that starts too late for its
+    /// objective delays others that could be in time. Prompts of any size may wait for a part of their objective.
+    static MonotonicTime usefulDeadline(MonotonicTime arrived, Duration objective, Duration prefillTime, MonotonicTime deadline);
+
     /// Returns the expected wait of another request, based on the recent dispatch rate, or zero while the rate is unknown.
     Duration expectedWait(MonotonicTime now) const;
 
--- a/src/hornbeamgate/gateway/weights_rollout.cpp
+++ b/src/hornbeamgate/gateway/weights_rollout.cpp
@@ -8,6 +8,8 @@
 
     /// One in this many engines loads concurrently. More would slow each other down and leave too few engines to serve.
     constexpr std::size_t kEnginesPerConcurrentLoad = 3;
+    /// The same where requests compete for capacity, so that more engines serve while the others load.
+    constexpr std::size_t kEnginesPerLoadIfScarce = 5;
     /// Delay before an order is retried, doubled with each failure. Without it, an unavailable engine would repeatedly
     /// occupy one of the concurrent loads.
     constexpr std::chrono::milliseconds kInitialRetryDelay { 300 };
@@ -112,7 +114,7 @@
         // Targets may change faster than all engines can load, so engines with the oldest weights come first.
         std::stable_sort(outdated.begin(), outdated.end(), [&model = model](const auto* left, const auto* right) { return left->weights.at(model) < right->weights.at(model); });
         for (const auto* entry : outdated) {
-            if (m_inProgress.size() >= maxConcurrentLoads(engines))
+            if (m_inProgress.size() >= maxConcurrentLoads(engines, m_isCapacityScarce))
                 break;
             const auto retry = m_retries.find(entry->id);
             if (m_journal.isBlocked(entry->id, now) || m_inProgress.contains(entry->id) || (retry != m_retries.end() && now < retry->second.at))
@@ -139,9 +141,9 @@
     ++retry.failures;
 }
 
-std::size_t WeightsRollout::maxConcurrentLoads(std::size_t engines)
+std::size_t WeightsRollout::maxConcurrentLoads(std::size_t engines, bool isCapacityScarce)
 {
-    return std::max<std::size_t>(1, engines / kEnginesPerConcurrentLoad);
+    return std::max<std::size_t>(1, engines / (isCapacityScarce ? kEnginesPerLoadIfScarce : kEnginesPerConcurrentLoad));
 }
 
 } // namespace hornbeamgate::gateway
--- a/src/hornbeamgate/gateway/weights_rollout.hpp
+++ b/src/hornbeamgate/gateway/weights_rollout.hpp
@@ -76,7 +76,9 @@
     void finishOrder(const EndpointId& endpoint, bool isLoaded, MonotonicTime now);
 
     /// Returns how many of `engines` engines may load weights concurrently.
-    static std::size_t maxConcurrentLoads(std::size_t engines);
+    static std::size_t maxConcurrentLoads(std::size_t engines, bool isCapacityScarce = false);
+    /// Tells whether requests compete for the capacity that loading engines lack.
+    void setCapacityScarce(bool isCapacityScarce) { m_isCapacityScarce = isCapacityScarce; }
 
 private:
     struct TargetChange {
@@ -93,6 +95,7 @@
     OrderJournal m_journal;
     std::map<ModelId, std::vector<TargetChange>> m_targetHistory; ///< by version
     std::map<ModelId, WeightsVersion> m_targets;
+    bool m_isCapacityScarce = false;
     std::optional<FencingToken> m_token;
     MonotonicTime m_confirmedUntil {};
     std::map<EndpointId, WeightsOrder> m_inProgress;
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -349,6 +349,7 @@
 void DirectoryTask::forgetEndpoint(const EndpointId& id)
 {
     m_state.loads.forget(id);
+    m_state.speeds.forget(id);
     m_state.advisories.forget(id);
     m_state.blocks.forget(id);
 }
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -149,6 +149,11 @@
     placementRequest.model = m_metadata.model;
     placementRequest.tried = m_triedEndpoints;
     placementRequest.timeLeft = m_deadline - now;
+    if (m_state.overload.isOn(m_service)) {
+        placementRequest.objectiveLeft = m_message.headArrived + m_route->latencyObjective - now;
+        placementRequest.daemons = m_state.peers.runningCount(now) + 1;
+        placementRequest.sampleSeed = stableHash(m_metadata.requestId, static_cast<std::uint64_t>(m_sendCount));
+    }
     placementRequest.cacheDomain = cacheDomain();
     if (m_metadata.model) {
         const auto& targets = m_state.weightsRollout.targets();
@@ -178,12 +183,29 @@
     const auto now = MonotonicClock::now();
     auto& queue = m_state.queueOf(m_service);
     const auto wait = std::max(queue.expectedWait(), m_admissionWait.value_or(Duration::zero()));
-    if (now + wait + PromptQueue::kMinTimeLeft > m_deadline) {
+    const auto queueDeadline = latestQueueDeadline();
+    if (now + wait + PromptQueue::kMinTimeLeft > queueDeadline) {
         refuseForCapacity(std::chrono::ceil<milliseconds>(wait));
         return;
     }
     const auto reason = m_admissionWait ? PromptQueueDispatcher::Reason::Admission : PromptQueueDispatcher::Reason::Room;
-    m_queueTicket = queue.add(m_deadline, { reason, [this] { return trySend(); }, [this] { refuseForCapacity(kDefaultRetryAfter); } });
+    m_queueTicket = queue.add(queueDeadline, { reason, [this] { return trySend(); }, [this] { refuseForCapacity(kDefaultRetryAfter); } });
+}
+
+MonotonicTime GatewayRequest::latestQueueDeadline() const
+{
+    if (!m_state.overload.isOn(m_service))
+        return m_deadline;
+    const std::chrono::duration<double, std::milli> prefillTime(static_cast<double>(promptTokens()) / m_state.speeds.tokensPerMs(m_service));
+    return PromptQueue::usefulDeadline(m_message.headArrived, m_route->latencyObjective, std::chrono::duration_cast<Duration>(prefillTime), m_deadline);
+}
+
+std::int64_t GatewayRequest::promptTokens() const
+{
+    std::int64_t tokens = 0;
+    for (const auto& part : m_metadata.prompt)
+        tokens += part.tokens;
+    return tokens;
 }
 
 void GatewayRequest::refuseForCapacity(milliseconds wait)
@@ -196,7 +218,7 @@
     const auto now = MonotonicClock::now();
     if (refuseQuarantined(now))
         return true;
-    const auto placement = m_state.placer.choose(makePlacementRequest(now), { m_state.registry, m_state.loads, m_state.advisories, m_state.blocks }, now);
+    const auto placement = m_state.placer.choose(makePlacementRequest(now), m_state.viewFor(m_service), now);
     const auto* endpoint = placement.endpoint ? m_state.registry.find(*placement.endpoint) : nullptr;
     // An interrupted stream is resumed without waiting for capacity, since its caller is waiting for the next event.
     if (endpoint && !placement.hasRoom && !m_hasBegunResponse)
@@ -328,6 +350,8 @@
     if (placement.blocks)
         m_state.blocks.recordUse(endpoint.id, *placement.blocks, now);
     m_state.loads.sent(endpoint.id, m_sendNumber, placement.prefillTokens, now);
+    m_prefillTokens = placement.prefillTokens;
+    m_expectedWait = placement.expectedWait;
     m_state.advisories.recordSend(instanceOf(endpoint), now);
     const auto metadata = forwardMetadata(endpoint, placement, now);
     m_requiredWeights = metadata.requiredWeights;
@@ -382,11 +406,22 @@
     recordAdvice(now);
 }
 
+void GatewayRequest::recordSpeed(MonotonicTime now)
+{
+    const auto* engine = m_state.registry.find(m_endpoint);
+    if (!engine || !m_state.overload.isOn(m_service))
+        return;
+    m_state.speeds.recordPrefill(*engine, m_prefillTokens, now - m_sentAt, now);
+    m_state.speeds.recordFirstEvent(*engine, now - m_sentAt, m_expectedWait);
+}
+
 void GatewayRequest::recordLoad(MonotonicTime now)
 {
     const auto& load = m_responseMetadata.load;
     if (load)
         m_state.loads.reported(m_endpoint, *load, now);
+    if (load && load->slowdownPercent)
+        m_state.speeds.recordReport(m_endpoint, *load->slowdownPercent, now);
     if (load && load->slowdownPercent && m_state.overload.recordSharedMachine(m_service))
         logEvent(LogEvent::OverloadControlChanged, { { "service", m_service.value() }, { "endpoint", m_endpoint.value() }, { "slowdown_percent", *load->slowdownPercent } });
     if (!m_responseMetadata.unreadableLoad.empty() && m_state.loads.shouldLogUnreadable(m_endpoint, now))
@@ -458,6 +493,8 @@
         return;
     m_overdueTimer.clear();
     m_state.loads.answerBegan(m_endpoint, m_sendNumber);
+    if (!m_hasFirstEvent)
+        recordSpeed(MonotonicClock::now());
     if (!m_hasFirstEvent)
         recordAnswer(MonotonicClock::now());
     else
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -50,6 +50,9 @@
     /// Refuses the request if it has a prompt part under which engines crash.
     bool refuseQuarantined(MonotonicTime now);
     void waitForCapacity();
+    /// Returns the deadline with which the request may wait in the prompt queue.
+    MonotonicTime latestQueueDeadline() const;
+    std::int64_t promptTokens() const;
     void send(const EndpointEntry& endpoint, const Placement& placement);
     void logPlacement(const Placement& placement, MonotonicTime now) const;
     void logResend(const EndpointId& previousEndpoint);
@@ -64,6 +67,8 @@
 
     void onHead(HttpResponseHead head);
     void recordLoad(MonotonicTime now);
+    /// Records how long the engine took to the first event.
+    void recordSpeed(MonotonicTime now);
     /// Records what the engine asks for in its response.
     void recordAdvice(MonotonicTime now);
     void recordPause(const EndpointInstance& endpoint, MonotonicTime now);
@@ -122,6 +127,8 @@
     Incarnation m_incarnation; ///< of the endpoint
     EngineKey m_engine = 0;
     std::uint64_t m_sendNumber = 0;
+    std::int64_t m_prefillTokens = 0; ///< that the engine had to read for the current send
+    std::chrono::milliseconds m_expectedWait {};
     MonotonicTime m_sentAt {};
     bool m_isSending = false;
     bool m_hasFirstEvent = false; ///< the endpoint has answered the current send with an event or a complete response
--- a/src/hornbeamgate/runtime/gateway/gateway_state.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_state.hpp
@@ -45,6 +45,12 @@
     /// Returns the requests of a service that wait for capacity.
     PromptQueueDispatcher& queueOf(const ServiceId& service) { return waiting.try_emplace(service).first->second; }
 
+    /// Returns what is known of the endpoints, as far as it counts for requests to the service.
+    EndpointView viewFor(const ServiceId& service) const
+    {
+        return { registry, loads, advisories, blocks, overload.isOn(service) ? &speeds : nullptr };
+    }
+
     /// Returns the time since the configuration was last confirmed to be the newest, or -1 ms if it never was.
     std::chrono::milliseconds configAge(MonotonicTime now) const
     {
@@ -58,6 +64,7 @@
     EndpointRegistry registry;
     OverloadControl overload;
     EndpointLoads loads;
+    EngineSpeeds speeds;
     EndpointAdvisories advisories;
     BlockDirectory blocks;
     Placer placer;
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -72,7 +72,10 @@
 void PeerTask::report()
 {
     const auto now = MonotonicClock::now();
-    const auto next = now + reportInterval();
+    const auto interval = reportInterval();
+    const auto next = now + interval;
+    if (m_state.overload.isAnyOn())
+        m_state.loads.setPeerTokensTimeout(std::max<Duration>(EndpointLoads::kPeerTokensTimeout, kReportsPerObservation * interval));
     m_standstills.timerFired(now, next);
     sendReport();
     m_timer.set(next);
@@ -127,6 +130,13 @@
     sendReport();
 }
 
+void PeerTask::extendLoading(const EndpointId& endpoint, Duration time)
+{
+    auto& end = m_loading[endpoint];
+    end = std::max(end, MonotonicClock::now() + time);
+    m_state.loads.pauseUntil(endpoint, end);
+}
+
 void PeerTask::announceLoaded(const LoadedWeights& weights)
 {
     m_loading.erase(weights.endpoint);
--- a/src/hornbeamgate/runtime/gateway/peer_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.hpp
@@ -22,6 +22,8 @@
     void sendReport();
     /// Makes all daemons stop sending requests to an engine that is about to load weights.
     void announceLoading(const EndpointId& endpoint, Duration time);
+    /// Prolongs the time without a report of its own; the next one tells the others.
+    void extendLoading(const EndpointId& endpoint, Duration time);
     /// Tells all daemons that an engine has loaded its weights and accepts requests again.
     void announceLoaded(const LoadedWeights& weights);
 
--- a/src/hornbeamgate/runtime/gateway/weights_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/weights_task.cpp
@@ -20,6 +20,8 @@
     constexpr milliseconds kRecordTimeout { 2000 };
     /// Requests avoid a loading engine for this long, unless it reports earlier that the load is complete.
     constexpr milliseconds kLoadingPause { 2500 };
+    /// Prolongation of the pause at each state query of an engine that still loads; covers lost reports to the other daemons.
+    constexpr milliseconds kLoadingExtension { 1500 };
     /// Tolerance for reading the boot-time and the monotonic clock at slightly different times.
     constexpr milliseconds kClockReadingError { 50 };
 
@@ -54,6 +56,7 @@
     checkSuspension();
     const auto now = MonotonicClock::now();
     m_state.weightsRollout.update(now);
+    m_state.weightsRollout.setCapacityScarce(m_state.overload.isAnyOn());
     if (!m_state.weightsRollout.isConfirmed(now))
         abandonUnsentOrders();
     for (const auto& order : m_state.weightsRollout.takeDue(m_state.registry, m_state.advisories, now))
@@ -167,6 +170,9 @@
         return;
     }
     if (operation->isOrderSent || report->isBusy) {
+        // A load waits for the requests that run, so it may take longer than the pause; the engine rejects requests meanwhile.
+        if (m_state.overload.isAnyOn())
+            m_peers.extendLoading(endpoint, kLoadingExtension);
         operation->timer.set(MonotonicClock::now() + kStateQueryInterval);
         return;
     }
--- a/tests/gateway/placement.test.cpp
+++ b/tests/gateway/placement.test.cpp
@@ -434,3 +434,65 @@
     CHECK(placement.expectedWait > 200ms);
     CHECK(placement.expectedWait <= 250ms);
 }
+
+TEST_CASE("gateways that see no load do not send all short prompts to the engine that looks best [placement]")
+{
+    // An engine that is too full to answer looked idle to all gateways, which sent it five times its share.
+    const auto registry = registryOf(20);
+    const EndpointLoads loads;
+    const auto placer = placerAt("a");
+    std::map<EndpointId, int> sends;
+    constexpr int kRequests = 4000;
+    for (int i = 0; i < kRequests; ++i) {
+        auto request = shortPrompt();
+        request.objectiveLeft = 400ms;
+        request.sampleSeed = static_cast<std::uint64_t>(i) * 2654435761U;
+        ++sends[*placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(0ms)).endpoint];
+    }
+    for (const auto& [id, count] : sends) {
+        CAPTURE(id.value());
+        CHECK(count < 5 * kRequests / 20);
+    }
+}
+
+TEST_CASE("an answer in time on older weights is preferred to a late one on the newest [placement]")
+{
+    // After new weights were named, everything went to the few engines that had them, and was late there.
+    EndpointRegistry registry;
+    registry.put(engine(1, "a", 2));
+    registry.put(engine(2, "a", 1));
+    EndpointLoads loads;
+    const auto placer = placerAt("a");
+    auto request = shortPrompt();
+    request.newestWeights = WeightsVersion(2);
+    request.objectiveLeft = 400ms;
+    CHECK(placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(0ms)).endpoint == EndpointId("e101"));
+    loads.sent(EndpointId("e101"), 1, 14'000, at(0ms)); // prefill takes 370 ms
+    CHECK(placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(0ms)).endpoint == EndpointId("e102"));
+    request.objectiveLeft.reset();
+    CHECK(placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(0ms)).endpoint == EndpointId("e101"));
+}
+
+TEST_CASE("an engine on a machine that is slowed down gets fewer requests than others, but some [placement]")
+{
+    const auto registry = registryOf(3);
+    const auto placer = placerAt("a");
+    EngineSpeeds speeds;
+    speeds.recordReport(EndpointId("e100"), 400, at(0ms));
+    speeds.recordReport(EndpointId("e101"), 100, at(0ms));
+    speeds.recordReport(EndpointId("e102"), 100, at(0ms));
+    EndpointLoads loads;
+    std::map<EndpointId, int> sends;
+    for (std::uint64_t i = 1; i <= 60; ++i) {
+        auto request = shortPrompt();
+        request.prompt = { { "own" + std::to_string(i), 1500 } };
+        request.objectiveLeft = 400ms;
+        request.sampleSeed = i * 2654435761U;
+        const auto placement = placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks, &speeds }, at(0ms));
+        REQUIRE(placement.endpoint);
+        loads.sent(*placement.endpoint, i, placement.prefillTokens, at(0ms));
+        ++sends[*placement.endpoint];
+    }
+    CHECK(sends[EndpointId("e100")] > 0);
+    CHECK(2 * sends[EndpointId("e100")] < sends[EndpointId("e101")]);
+}
