Tell peers about slow starts and judge latencies by the usual one

A prediction covers the time to the first event only, which is near zero for services without prompts; the usual latency of the service takes its place where it is longer. Responses between two and four times the prediction neither raise nor lower the limit: halving at twice the mean kept the limit of services with scattered durations from reaching the slots (by calculation: 13 % of exponential durations exceed it, 2 % exceed four times the mean).

--- a/src/hornbeamgate/gateway/endpoint_pace.cpp
+++ b/src/hornbeamgate/gateway/endpoint_pace.cpp
@@ -13,10 +13,14 @@
 
     /// Requests in progress over all daemons at first; one would leave the endpoint to a daemon that may be dead or idle.
     constexpr int kInitialLimit = 2;
-    /// A response is in time within this multiple of the prediction plus the tolerance. Predictions follow the load of an
-    /// engine with a delay, and small ones are dominated by the network.
+    /// A response is in time within this multiple of the prediction plus the tolerance, and late beyond the larger multiple.
+    /// Predictions follow the load of an engine with a delay, small ones are dominated by the network, and the durations of
+    /// complete responses scatter about as much as their mean: a fiftieth exceeds four times the mean.
     constexpr int kInTimeFactor = 2;
+    constexpr int kLateFactor = 4;
     constexpr milliseconds kInTimeTolerance { 50 };
+    /// Reciprocal weight of one response in the usual latency. An endpoint in slow start contributes few.
+    constexpr int kUsualLatencyDivisor = 64;
     /// Time without sends after a failure; doubles with each further one. Fast errors would otherwise attract requests.
     constexpr milliseconds kInitialHold { 500 };
     constexpr milliseconds kMaxHold { 4000 };
@@ -280,33 +284,53 @@
         appeared(endpoint, state->slots, PaceCause::Silent, now);
         return;
     }
-    const bool isInTime = outcome == SendOutcome::Served && (expected <= Duration::zero() || latency <= kInTimeFactor * expected + kInTimeTolerance);
-    const auto sentAt = now - latency;
-    if (!state->isActive) {
-        state->hasServed = state->hasServed || isInTime;
-        return;
-    }
-    // What was sent before the endpoint fell tells nothing about how it recovers.
-    if (sentAt < state->startedAt)
-        return;
-    recordResult(*state, isInTime, sentAt, now);
-    if (outcome == SendOutcome::Failed || outcome == SendOutcome::Shed) {
+    const auto timeliness = outcome == SendOutcome::Served ? judge(endpoint.service, latency, expected) : Timeliness::Late;
+    recordResult(*state, endpoint.id, timeliness, now - latency, now);
+    if (state->isActive && state->failures > 0 && outcome != SendOutcome::Served) {
         const int doublings = std::min(state->failures - 1, kMaxHoldDoublings);
-        state->heldUntil = now + std::min<Duration>(kInitialHold * (1 << std::max(0, doublings)), kMaxHold);
+        state->heldUntil = now + std::min<Duration>(kInitialHold * (1 << doublings), kMaxHold);
     }
-    m_standings.erase(endpoint.id);
-    // Credit from before a fall that this daemon has not noticed must not end the slow start.
-    if (isInTime)
-        endIfDone(*state, endpoint.id, now);
 }
 
-void EndpointPaces::recordResult(State& state, bool isInTime, MonotonicTime sentAt, MonotonicTime now)
+void EndpointPaces::recordAnswer(const EndpointInstance& endpoint, Duration latency, Duration expected, MonotonicTime now)
+{
+    auto* state = find(endpoint);
+    if (!state)
+        return;
+    state->silentSince.reset();
+    recordResult(*state, endpoint.id, judge(endpoint.service, latency, expected), now - latency, now);
+}
+
+EndpointPaces::Timeliness EndpointPaces::judge(const ServiceId& service, Duration latency, Duration expected)
 {
+    auto& usual = m_usualLatency.try_emplace(service, latency).first->second;
+    const auto prediction = std::max(expected, usual);
+    usual += (latency - usual) / kUsualLatencyDivisor;
+    if (latency <= kInTimeFactor * prediction + kInTimeTolerance)
+        return Timeliness::InTime;
+    return latency <= kLateFactor * prediction + kInTimeTolerance ? Timeliness::Delayed : Timeliness::Late;
+}
+
+void EndpointPaces::recordResult(State& state, const EndpointId& id, Timeliness timeliness, MonotonicTime sentAt, MonotonicTime now)
+{
+    const bool isInTime = timeliness == Timeliness::InTime;
+    if (!state.isActive) {
+        state.hasServed = state.hasServed || isInTime;
+        return;
+    }
+    // What was sent before the endpoint fell tells nothing about how it recovers.
+    if (sentAt < state.startedAt || timeliness == Timeliness::Delayed)
+        return;
+    state.progressAt = now;
+    state.changedAt = now;
+    m_standings.erase(id);
     if (isInTime) {
         ++state.credit;
         state.failures = 0;
         state.hasServed = true;
         state.hasAnswered = true;
+        // Checked here only: credit from before a fall that this daemon has not noticed must not end the slow start.
+        endIfDone(state, id, now);
         return;
     }
     // Requests in progress at the same time fail together and count once.
--- a/src/hornbeamgate/gateway/endpoint_pace.hpp
+++ b/src/hornbeamgate/gateway/endpoint_pace.hpp
@@ -97,7 +97,11 @@
     /// is part of the same slow start.
     void appeared(const EndpointInstance& endpoint, int slots, PaceCause cause, MonotonicTime now);
     void recordSend(const EndpointInstance& endpoint, MonotonicTime now);
-    /// Records the end of a send. `latency` is the time since the send; `expected` is its prediction, or zero if there is none.
+    /// Records that the response to a send has begun, `latency` after the send, while the send is still in progress.
+    /// `expected` is the predicted latency; the usual latency of the service is used if that is longer.
+    void recordAnswer(const EndpointInstance& endpoint, Duration latency, Duration expected, MonotonicTime now);
+    /// Records the end of a send, with the latency as for `recordAnswer`. A send whose response has been recorded and is
+    /// complete ends as abandoned, which tells nothing more about the endpoint.
     void recordOutcome(const EndpointInstance& endpoint, SendOutcome outcome, Duration latency, Duration expected, MonotonicTime now);
     /// Whether the endpoint may be sent a request now. `othersHaveRoom` tells whether an admitted endpoint has a free slot;
     /// if none has, the pace does not apply.
@@ -155,6 +159,11 @@
         int inProgress = 0;
         std::map<HostId, PeerEntry> peers;
     };
+    enum class Timeliness {
+        InTime,
+        Delayed, ///< neither raises nor lowers the limit
+        Late,
+    };
     struct Rank {
         bool isFailing;
         bool isUntried;
@@ -170,7 +179,9 @@
     void end(State& state, const EndpointId& id, MonotonicTime now);
     /// Counts that an incarnation of the endpoint has fallen.
     static void countFall(State& state, Incarnation fallen, MonotonicTime now);
-    static void recordResult(State& state, bool isInTime, MonotonicTime sentAt, MonotonicTime now);
+    void recordResult(State& state, const EndpointId& id, Timeliness timeliness, MonotonicTime sentAt, MonotonicTime now);
+    /// Compares a latency with its prediction and learns from it.
+    Timeliness judge(const ServiceId& service, Duration latency, Duration expected);
     void endIfDone(State& state, const EndpointId& id, MonotonicTime now);
     /// Returns whether the peer is known to send to the endpoint without a limit.
     bool isUnaffected(const State& state, const HostId& peer, const PeerEntry* reported) const;
@@ -186,6 +197,7 @@
 
     HostId m_self;
     std::vector<HostId> m_others; ///< sorted
+    std::map<ServiceId, Duration> m_usualLatency; ///< moving average of all endpoints
     std::map<HostId, MonotonicTime> m_heardAt; ///< last report of each peer
     std::map<EndpointId, State> m_endpoints;
     std::unordered_map<std::uint64_t, EndpointId> m_activeKeys; ///< endpoints in slow start by the key in reports
--- a/src/hornbeamgate/gateway/peer_report.cpp
+++ b/src/hornbeamgate/gateway/peer_report.cpp
@@ -55,6 +55,41 @@
         return report;
     }
 
+    /// Bits of the state of an endpoint in slow start.
+    constexpr unsigned kFailingBit = 1;
+    constexpr unsigned kBusyBit = 2;
+    constexpr unsigned kDoneBit = 4;
+    /// Responses and sends that a daemon can report for a slow start, which ends far below.
+    constexpr std::int64_t kMaxPaceCount = 1'000'000;
+    /// Falls beyond it make no difference.
+    constexpr std::int64_t kMaxPaceFalls = 100;
+
+    json encodePace(const PaceReport& report)
+    {
+        json entries = json::array();
+        for (const auto& entry : report.entries) {
+            const unsigned bits = (entry.isFailing ? kFailingBit : 0) | (entry.isBusy ? kBusyBit : 0) | (entry.isDone ? kDoneBit : 0);
+            entries.push_back(json::array({ entry.key, entry.credit, entry.sends, entry.falls, bits }));
+        }
+        return entries;
+    }
+
+    int paceCount(const json& value, std::int64_t most)
+    {
+        return static_cast<int>(std::clamp<std::int64_t>(value.get<std::int64_t>(), 0, most));
+    }
+
+    PaceReport decodePace(const json& value)
+    {
+        PaceReport report;
+        for (const auto& item : value) {
+            const auto bits = item.at(4).get<unsigned>();
+            report.entries.push_back({ item.at(0).get<std::uint64_t>(), paceCount(item.at(1), kMaxPaceCount), paceCount(item.at(2), kMaxPaceCount), paceCount(item.at(3), kMaxPaceFalls),
+                (bits & kFailingBit) != 0, (bits & kBusyBit) != 0, (bits & kDoneBit) != 0 });
+        }
+        return report;
+    }
+
 } // namespace
 
 Bytes encodePeerReport(const PeerReport& report)
@@ -83,9 +118,12 @@
     json blockUses = json::array();
     for (const auto& blockUse : report.blockUses)
         blockUses.push_back(json::array({ blockUse.endpoint.value(), blockUse.blocks, blockUse.age.count() }));
-    return toCbor(json::array({ report.host.value(), report.incarnation.value(), std::move(ends), std::move(drawn), std::move(loading),
+    auto fields = json::array({ report.host.value(), report.incarnation.value(), std::move(ends), std::move(drawn), std::move(loading),
         report.address.ip, report.address.port, std::move(loaded), std::move(pendingPrefills), report.leadership.isLeader, report.leadership.resignations, report.isLeaving, json::array(), std::move(blockUses),
-        report.leadership.generation.value(), report.leadership.resignedGeneration.value(), std::move(targetAges), std::move(orderAges), report.isAskingForOrderAges, encodeQuarantine(report.quarantine), encodeAdvisories(report.advisories) }));
+        report.leadership.generation.value(), report.leadership.resignedGeneration.value(), std::move(targetAges), std::move(orderAges), report.isAskingForOrderAges, encodeQuarantine(report.quarantine), encodeAdvisories(report.advisories) });
+    if (!report.pace.entries.empty())
+        fields.push_back(encodePace(report.pace));
+    return toCbor(fields);
 }
 
 Result<PeerReport, CodecError> decodePeerReport(BytesView encoded)
@@ -96,6 +134,8 @@
     constexpr std::size_t kFieldsWithoutQuarantine = 19;
     /// Reports of daemons that do not keep to limits of endpoints end here.
     constexpr std::size_t kFieldsWithoutAdvisories = 20;
+    /// Reports of daemons that know no endpoint in slow start end here.
+    constexpr std::size_t kFieldsWithoutPace = 21;
     const auto value = fromCbor(encoded);
     if (!value)
         return failure(value.error());
@@ -133,6 +173,8 @@
             report.quarantine = decodeQuarantine(value->at(19));
         if (value->size() > kFieldsWithoutAdvisories)
             report.advisories = decodeAdvisories(value->at(20));
+        if (value->size() > kFieldsWithoutPace)
+            report.pace = decodePace(value->at(21));
         return report;
     } catch (const json::exception& error) {
         return failure(CodecError { error.what() });
--- a/src/hornbeamgate/gateway/peer_report.hpp
+++ b/src/hornbeamgate/gateway/peer_report.hpp
@@ -5,6 +5,7 @@
 #include "hornbeamgate/gateway/block_directory.hpp"
 #include "hornbeamgate/gateway/directory_replica.hpp"
 #include "hornbeamgate/gateway/endpoint_advisories.hpp"
+#include "hornbeamgate/gateway/endpoint_pace.hpp"
 #include "hornbeamgate/gateway/prompt_quarantine.hpp"
 #include "hornbeamgate/gateway/rollout_election.hpp"
 #include "hornbeamgate/gateway/weights_rollout.hpp"
@@ -45,6 +46,7 @@
     std::map<EndpointId, std::int64_t> pendingPrefillTokens; ///< prompt tokens sent to engines that still wait for prefill
     QuarantineReport quarantine;
     AdvisoryReport advisories;
+    PaceReport pace; ///< encoded last, and only if an endpoint is in slow start
 };
 
 Bytes encodePeerReport(const PeerReport& report);
--- a/tests/gateway/peer_report.test.cpp
+++ b/tests/gateway/peer_report.test.cpp
@@ -83,6 +83,30 @@
     CHECK(decoded->quarantine.quarantined[0].renewals == 2);
 }
 
+// Guards against daemons that cannot read each other's reports while a fleet is updated, and against traffic in calm.
+TEST_CASE("slow starts are the last field of a report and take no byte while there are none [peers]")
+{
+    PeerReport report;
+    const auto calm = encodePeerReport(report).size();
+    report.pace.entries.push_back({ 0xfedcba9876543210, 9, 11, 2, true, false, true });
+    report.pace.entries.push_back({ 5, 0, 1, 0, false, true, false });
+    const auto encoded = encodePeerReport(report);
+    const auto decoded = decodePeerReport(encoded);
+    REQUIRE(decoded);
+    REQUIRE(decoded->pace.entries.size() == 2);
+    CHECK(decoded->pace.entries[0].key == 0xfedcba9876543210);
+    CHECK(decoded->pace.entries[0].credit == 9);
+    CHECK(decoded->pace.entries[0].sends == 11);
+    CHECK(decoded->pace.entries[0].falls == 2);
+    CHECK(decoded->pace.entries[0].isFailing);
+    CHECK_FALSE(decoded->pace.entries[0].isBusy);
+    CHECK(decoded->pace.entries[0].isDone);
+    CHECK(decoded->pace.entries[1].isBusy);
+    report.pace.entries.clear();
+    CHECK(encodePeerReport(report).size() == calm);
+    CHECK(decodePeerReport(encodePeerReport(report))->pace.entries.empty());
+}
+
 TEST_CASE("withdrawn records and binary values are unchanged after encoding and decoding [peers]")
 {
     const std::vector<DirectoryRecord> records { { "a", std::string("\x00\xff", 2), LogOffset(1) }, { "b", std::nullopt, LogOffset(2) } };
