Skip endpoints that the pace does not admit while others have a free slot

EndpointView gets a pointer to the paces, null where overload control is off; then the cheapest endpoint is chosen as before. With it, endpoints above their limit are chosen only if no admitted one has a free slot and answers in time.

Ruled out: a cost added to such endpoints; a large one refuses callers for whom the admitted endpoints are too late, a small one does not hold the limit.

--- a/src/hornbeamgate/gateway/placement.cpp
+++ b/src/hornbeamgate/gateway/placement.cpp
@@ -90,6 +90,11 @@
         std::optional<MonotonicTime> nextAdmission;
     };
 
+    bool hasFreeSlot(const EndpointEntry& entry, const EndpointLoads& loads, MonotonicTime now)
+    {
+        return !loads.isAvoided(entry.id, now) && loads.load(entry.id, now) + 1 <= std::max(1, entry.slots);
+    }
+
     bool isUnresponsive(const EndpointId& id, const EndpointLoads& loads, MonotonicTime now)
     {
         return loads.isFailing(id, now) || loads.oldestUnanswered(id, now) > kSlowAnswerThreshold;
@@ -107,7 +112,7 @@
     const auto entries = eligible(request, view);
     const auto shared = sharedPrefix(request);
     const auto peers = groupByWeights(entries, request, shared, view, now);
-    std::optional<Candidate> best;
+    PacedChoice<Candidate> choice;
     LimitedEndpoints limited;
     const auto size = shared.tokens + shared.ownTokens >= kLongPromptTokens ? RequestSize::Large : RequestSize::Small;
     for (const auto* entry : entries) {
@@ -119,9 +124,10 @@
             continue;
         }
         const auto candidate = estimate(*entry, request, shared, peers, view, now);
-        if (!best || candidate.cost < best->cost)
-            best = candidate;
+        const bool isFree = view.paces && candidate.firstAnswerTime <= request.timeLeft && hasFreeSlot(*entry, view.loads, now);
+        choice.add(candidate, view.paces ? view.paces->tierOf(instance, now) : PaceTier::Admitted, isFree);
     }
+    const auto& best = choice.best();
     const bool isTooLate = best && best->firstAnswerTime > request.timeLeft;
     if (limited.count > 0 && (!best || isTooLate))
         return limited.refusal(now);
@@ -134,6 +140,7 @@
         return placement;
     }
     placement.endpoint = best->entry->id;
+    placement.isHeldBack = choice.isHeldBack();
     placement.prefillTokens = shared.ownTokens + (shared.isWorthFetching() && best->plan.needsPrefill ? shared.tokens : 0);
     placement.hasRoom = placement.prefillTokens < kLongPromptTokens || hasRoom(*best->entry, view.loads, now);
     if (!shared.isWorthFetching())
--- a/src/hornbeamgate/gateway/placement.hpp
+++ b/src/hornbeamgate/gateway/placement.hpp
@@ -3,6 +3,7 @@
 #include "hornbeamgate/gateway/block_directory.hpp"
 #include "hornbeamgate/gateway/endpoint_advisories.hpp"
 #include "hornbeamgate/gateway/endpoint_loads.hpp"
+#include "hornbeamgate/gateway/endpoint_pace.hpp"
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
 #include "hornbeamgate/gateway/fleet_config.hpp"
 
@@ -46,6 +47,7 @@
     const EndpointLoads& loads;
     const EndpointAdvisories& advisories;
     const BlockDirectory& blocks;
+    const EndpointPaces* paces = nullptr; ///< null if endpoints of the service have no slow start
 };
 
 /// Why no endpoint was chosen.
@@ -64,6 +66,7 @@
     bool hasRoom = true; ///< false for a long prompt if the endpoint's prefill backlog is full
     PlacementRefusal refusal = PlacementRefusal::NoEndpoint;
     std::chrono::milliseconds expectedWait {}; ///< until the first response of the best endpoint, or until one admits a request
+    bool isHeldBack = false; ///< a better endpoint is in slow start and gets no more requests now
     double admissionRate = 0; ///< requests per second that the endpoints which admit none now take from this daemon
 };
 
--- a/tests/gateway/placement.test.cpp
+++ b/tests/gateway/placement.test.cpp
@@ -434,3 +434,29 @@
     CHECK(placement.expectedWait > 200ms);
     CHECK(placement.expectedWait <= 250ms);
 }
+
+// Guards against an engine that gets more than its pace beside free ones, and against callers that wait beside a free slot.
+TEST_CASE("an endpoint in slow start gets no more than its limit while others have a free slot [placement]")
+{
+    const auto registry = registryOf(2);
+    EndpointLoads loads;
+    const auto placer = placerAt("a");
+    const auto request = shortPrompt();
+    const EndpointView unpaced { registry, loads, kNoAdvice, kNoBlocks };
+    const auto first = *placer.choose(request, unpaced, at(0ms)).endpoint;
+    const auto& entry = *registry.find(first);
+    EndpointPaces paces { HostId("front-0") };
+    paces.appeared(instanceOf(entry), entry.slots, PaceCause::FirstSeen, at(0ms));
+    const EndpointView paced { registry, loads, kNoAdvice, kNoBlocks, &paces };
+    for (int i = 0; i < 2; ++i) {
+        CHECK(placer.choose(request, paced, at(0ms)).endpoint == first);
+        paces.recordSend(instanceOf(entry), at(0ms));
+    }
+    const auto held = placer.choose(request, paced, at(0ms));
+    CHECK(held.endpoint != first);
+    CHECK(held.isHeldBack);
+    CHECK(placer.choose(request, unpaced, at(0ms)).endpoint == first);
+    for (int i = 0; i < registry.find(*held.endpoint)->slots; ++i)
+        loads.sent(*held.endpoint, static_cast<std::uint64_t>(i), 0, at(0ms));
+    CHECK(placer.choose(request, paced, at(0ms)).endpoint == first);
+}
