Start the pace of endpoints that appear, restart or load weights

DirectoryTask, peer reports and weights stated in responses start the slow start of an endpoint where overload control is on for its service. The first listing starts none. Reports carry the slow starts; endpoint_pace logs their starts and ends, and hornbeamgate_sends_held_back_total counts sends that went elsewhere.

The fleet simulation gets plays of a first start and of lost reports.

--- a/src/hornbeamgate/observability/log.cpp
+++ b/src/hornbeamgate/observability/log.cpp
@@ -60,6 +60,7 @@
         EventEntry { LogEvent::EndpointsChanged, "endpoints_changed", LogLevel::Info },
         EventEntry { LogEvent::EndpointLimited, "endpoint_limited", LogLevel::Info },
         EventEntry { LogEvent::EndpointPaused, "endpoint_paused", LogLevel::Info },
+        EventEntry { LogEvent::EndpointPaceChanged, "endpoint_pace", LogLevel::Info },
         EventEntry { LogEvent::AdviceUnreadable, "advice_unreadable", LogLevel::Warning },
         EventEntry { LogEvent::LoadUnreadable, "load_unreadable", LogLevel::Warning },
         EventEntry { LogEvent::OverloadControlChanged, "overload_control_changed", LogLevel::Info },
--- a/src/hornbeamgate/observability/log.hpp
+++ b/src/hornbeamgate/observability/log.hpp
@@ -47,6 +47,7 @@
     EndpointsChanged,
     EndpointLimited,
     EndpointPaused,
+    EndpointPaceChanged,
     AdviceUnreadable,
     LoadUnreadable,
     OverloadControlChanged,
--- a/src/hornbeamgate/observability/metrics.cpp
+++ b/src/hornbeamgate/observability/metrics.cpp
@@ -23,6 +23,7 @@
         "hornbeamgate_requests_failed_total",
         "hornbeamgate_requests_quarantined_total",
         "hornbeamgate_requests_at_limit_total",
+        "hornbeamgate_sends_held_back_total",
         "hornbeamgate_responses_cut_off_total",
         "hornbeamgate_stream_pieces_total",
         "hornbeamgate_runs_resumed_total",
--- a/src/hornbeamgate/observability/metrics.hpp
+++ b/src/hornbeamgate/observability/metrics.hpp
@@ -16,6 +16,7 @@
     RequestsFailed,
     RequestsQuarantined,
     RequestsAtLimit,
+    SendsHeldBack,
     ResponsesCutOff,
     StreamPieces,
     RunsResumed,
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -221,13 +221,33 @@
     const bool isChange = !known || known->isLeaving != entry.isLeaving || known->incarnation != entry.incarnation;
     if (known && known->incarnation != entry.incarnation)
         forgetEndpoint(entry.id);
+    const auto cause = paceCause(known, entry);
     if (known && known->weights != entry.weights)
         m_state.loads.resume(entry.id);
     if (isChange)
         logEvent(LogEvent::EndpointsChanged, { { "endpoint", entry.id.value() }, { "state", entry.isLeaving ? "leaving" : "up" }, { "address", entry.address.text() } });
+    if (cause)
+        m_state.startPace(instanceOf(entry), entry.slots, *cause, MonotonicClock::now());
     m_state.registry.put(std::move(entry));
 }
 
+std::optional<PaceCause> DirectoryTask::paceCause(const EndpointEntry* known, const EndpointEntry& entry)
+{
+    if (!known) {
+        // What the listing at the start of this daemon contains has been running before.
+        const bool isStarting = !watcher(DirectoryTopic::Endpoints).poll.hasListing();
+        return isStarting ? std::nullopt : std::optional(PaceCause::FirstSeen);
+    }
+    if (known->incarnation < entry.incarnation)
+        return PaceCause::Restarted;
+    const auto isNewer = [known](const auto& weights) {
+        const auto before = known->weights.find(weights.first);
+        return before != known->weights.end() && before->second < weights.second;
+    };
+    const bool isLoaded = known->incarnation == entry.incarnation && std::any_of(entry.weights.begin(), entry.weights.end(), isNewer);
+    return isLoaded ? std::optional(PaceCause::WeightsLoaded) : std::nullopt;
+}
+
 void DirectoryTask::put(const DaemonEntry& entry)
 {
     if (entry.host == m_self.host)
@@ -350,6 +370,7 @@
 {
     m_state.loads.forget(id);
     m_state.advisories.forget(id);
+    m_state.paces.forget(id);
     m_state.blocks.forget(id);
 }
 
@@ -361,6 +382,7 @@
         logEvent(LogEvent::EndpointsChanged, { { "endpoint", id.value() }, { "state", "gone" } });
     }
     m_state.advisories.setFleet(m_state.peers.running(now), now);
+    m_state.paces.setFleet(m_state.peers.running(now));
     m_state.rates.setFleet(m_state.peers.heardCount(now) + 1, m_state.peers.runningCount(now) + 1, now);
     m_expiryTimer.set(now + kExpiryInterval);
 }
--- a/src/hornbeamgate/runtime/gateway/directory_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.hpp
@@ -57,6 +57,8 @@
     void put(const WeightsTarget& target);
     void put(EndpointEntry entry);
     void put(const DaemonEntry& entry);
+    /// Returns why the endpoint enters slow start, if it does, where `known` is its present entry.
+    std::optional<PaceCause> paceCause(const EndpointEntry* known, const EndpointEntry& entry);
     void registerDaemon();
     /// Tries to become leader immediately if this host was the leader before the daemon started.
     void resumeLeadership();
--- a/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
@@ -196,6 +196,7 @@
     for (const auto& [id, entry] : m_state.registry.entries()) {
         endpoints.push_back({ { "id", id.value() }, { "service", entry.service.value() }, { "address", entry.address.text() }, { "leaving", entry.isLeaving || m_state.advisories.isLeaving(instanceOf(entry)) },
             { "load", m_state.loads.load(id, now) }, { "failure_share", m_state.loads.failureRate(id) }, { "avoided", m_state.loads.isAvoided(id, now) },
+            { "paced", m_state.paces.isInSlowStart(instanceOf(entry)) },
             { "paused", m_state.advisories.isPaused(instanceOf(entry), now) },
             { "limit_per_second", m_state.advisories.limitOf(instanceOf(entry)).value_or(-1) } });
     }
--- a/src/hornbeamgate/runtime/gateway/gateway_state.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_state.hpp
@@ -2,6 +2,7 @@
 
 #include "hornbeamgate/gateway/endpoint_advisories.hpp"
 #include "hornbeamgate/gateway/endpoint_loads.hpp"
+#include "hornbeamgate/gateway/endpoint_pace.hpp"
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
 #include "hornbeamgate/gateway/overload_control.hpp"
 #include "hornbeamgate/gateway/peer_table.hpp"
@@ -31,6 +32,7 @@
         , wire(format)
         , overload(configured.contracts.contains(kOverloadContract))
         , advisories(configured.common.host)
+        , paces(configured.common.host)
         , placer(DaemonLocation { configured.common.dataCenter, configured.common.region, configured.regions })
         , weightsRollout(configured.common.host, configured.leaderLease, configured.weightsBound)
     {
@@ -45,6 +47,24 @@
     /// Returns the requests of a service that wait for capacity.
     PromptQueueDispatcher& queueOf(const ServiceId& service) { return waiting.try_emplace(service).first->second; }
 
+    /// Starts the slow start of an endpoint where overload control is on for its service.
+    void startPace(const EndpointInstance& endpoint, int slots, PaceCause cause, MonotonicTime now)
+    {
+        if (overload.isOn(endpoint.service))
+            paces.appeared(endpoint, slots, cause, now);
+    }
+
+    /// Records the weights that an endpoint states. If they are newer than those known, it has just loaded them.
+    void recordWeights(const EndpointId& id, const ModelId& model, WeightsVersion version, MonotonicTime now)
+    {
+        if (const auto* entry = registry.find(id)) {
+            const auto known = entry->weights.find(model);
+            if (known != entry->weights.end() && known->second < version)
+                startPace(instanceOf(*entry), entry->slots, PaceCause::WeightsLoaded, now);
+        }
+        registry.recordWeights(id, model, version);
+    }
+
     /// Returns the time since the configuration was last confirmed to be the newest, or -1 ms if it never was.
     std::chrono::milliseconds configAge(MonotonicTime now) const
     {
@@ -59,6 +79,7 @@
     OverloadControl overload;
     EndpointLoads loads;
     EndpointAdvisories advisories;
+    EndpointPaces paces; ///< of endpoints of services under overload control
     BlockDirectory blocks;
     Placer placer;
     std::map<ServiceId, PromptQueueDispatcher> waiting; ///< requests of each service that wait for capacity
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -1,6 +1,7 @@
 #include "hornbeamgate/runtime/gateway/peer_task.hpp"
 
 #include "hornbeamgate/observability/log.hpp"
+#include "hornbeamgate/runtime/gateway/pace_log.hpp"
 #include "hornbeamgate/runtime/gateway/quarantine_log.hpp"
 
 #include <algorithm>
@@ -74,6 +75,7 @@
     const auto now = MonotonicClock::now();
     const auto next = now + reportInterval();
     m_standstills.timerFired(now, next);
+    logPaceChanges(m_state.paces.takeChanges());
     sendReport();
     m_timer.set(next);
 }
@@ -108,6 +110,7 @@
     report.blockUses = m_state.blocks.recentLocalUses(observedSince, now);
     report.quarantine = m_state.quarantine.report(observedSince, now);
     report.advisories = m_state.advisories.report(observedSince, now);
+    report.pace = m_state.paces.report(now);
     report.pendingPrefillTokens = m_state.loads.localPendingPrefillTokens();
     return report;
 }
@@ -143,7 +146,7 @@
     const auto version = known->weights.find(weights.model);
     if (version == known->weights.end() || version->second >= weights.version)
         return;
-    m_state.registry.recordWeights(weights.endpoint, weights.model, weights.version);
+    m_state.recordWeights(weights.endpoint, weights.model, weights.version, MonotonicClock::now());
     m_state.loads.resume(weights.endpoint);
 }
 
@@ -165,6 +168,7 @@
         applyLoaded(weights);
     m_state.blocks.recordPeerUses(report->blockUses, now);
     m_state.loads.setPeerPendingPrefillTokens(report->host, report->pendingPrefillTokens, now);
+    m_state.paces.recordPeerReport(report->host, report->pace, now);
     applyLeaving(*report, now);
     // The ages in a report that was received late are too low.
     if (!m_standstills.mayReadBacklog(now)) {
--- a/tests/gateway/endpoint_pace_fleet.test.cpp
+++ b/tests/gateway/endpoint_pace_fleet.test.cpp
@@ -82,6 +82,15 @@
     /// The engine registers a new incarnation at `time`.
     void restartAt(std::size_t engine, milliseconds time) { m_engines[engine].restarts.push_back(time); }
 
+    /// The engine registers for the first time at `time`.
+    void startAt(std::size_t engine, milliseconds time)
+    {
+        m_engines[engine].isNew = true;
+        restartAt(engine, time);
+    }
+
+    void setReportLoss(double loss) { m_reportLoss = loss; }
+
     void run(milliseconds duration)
     {
         for (; m_time < duration; m_time += kStep) {
@@ -147,6 +156,7 @@
     };
     struct Engine {
         Script script = serving;
+        bool isNew = false; ///< the first restart is its start
         std::vector<milliseconds> restarts;
         std::array<milliseconds, kSlots> slotFreeAt {};
         int inProgress = 0;
@@ -212,7 +222,7 @@
             gateway.incarnations[i] = incarnation;
             gateway.loads.forget(idOf(i));
             gateway.paces.forget(idOf(i));
-            gateway.paces.appeared(instance(i, gateway), kSlots, PaceCause::Restarted, at(m_time));
+            gateway.paces.appeared(instance(i, gateway), kSlots, m_engines[i].isNew && incarnation == 2 ? PaceCause::FirstSeen : PaceCause::Restarted, at(m_time));
         }
     }
 
@@ -220,8 +230,7 @@
     {
         const auto report = m_gateways[index].paces.report(at(m_time));
         for (std::size_t i = 0; i < kGateways; ++i) {
-            constexpr double kLoss = 0.05;
-            if (i == index || std::uniform_real_distribution<double>(0, 1)(m_random) < kLoss)
+            if (i == index || std::uniform_real_distribution<double>(0, 1)(m_random) < m_reportLoss)
                 continue;
             later(randomDelay(1ms, kMaxTransit), [this, i, index, report] { m_gateways[i].paces.recordPeerReport(hostOf(index), report, at(m_time)); });
         }
@@ -231,7 +240,7 @@
     {
         PacedChoice<Candidate> choice;
         for (std::size_t i = 0; i < kEngines; ++i) {
-            if (tried.contains(i))
+            if (tried.contains(i) || (m_engines[i].isNew && !gateway.incarnations.contains(i)))
                 continue;
             const auto endpoint = instance(i, gateway);
             const bool isAvoided = gateway.loads.isAvoided(endpoint.id, at(m_time));
@@ -327,6 +336,7 @@
 
     bool m_isPaced;
     double m_arrivalsPerStep;
+    double m_reportLoss = 0.05;
     std::mt19937_64 m_random { 1 };
     std::vector<Gateway> m_gateways;
     std::vector<Engine> m_engines;
@@ -390,6 +400,22 @@
     CHECK(paced.slowStarts(0) == 0);
 }
 
+TEST_CASE("an engine that starts gets no more than its slots in its first second and its share soon [pace]")
+{
+    PacedFleet paced(true, kLoad);
+    PacedFleet unpaced(false, kLoad);
+    for (auto* fleet : { &paced, &unpaced }) {
+        fleet->startAt(0, 4s);
+        fleet->run(14s);
+    }
+    printCurves("one starts", paced, unpaced);
+    CHECK(paced.peak(0, 4s, 5s) <= kSlots);
+    REQUIRE(paced.timeToShare(0, 4s));
+    CHECK(*paced.timeToShare(0, 4s) <= kReturnBound);
+    MESSAGE("80 % of its share after ms: ", paced.timeToShare(0, 4s)->count());
+    CHECK(paced.refusedBesideFreeSlot() == 0);
+}
+
 TEST_CASE("engines that return together get no more than their slots each and their share soon [pace]")
 {
     const auto paced = playReturn(true, kEngines / 4);
@@ -422,6 +448,7 @@
         REQUIRE(paced.timeToShare(i, 4s));
         CHECK(*paced.timeToShare(i, 4s) <= kReturnBound);
     }
+    MESSAGE("80 % of its share after ms: ", paced.timeToShare(0, 4s)->count());
 }
 
 // Guards against the same peak at each return of an engine that crashes again and again.
@@ -521,3 +548,19 @@
     CHECK(paced.served(0, 8s, 14s) >= 0.8 * 6 * share * static_cast<double>(kGateways - kZone) / static_cast<double>(kGateways));
     CHECK(paced.failed() == 0);
 }
+
+// Guards against an engine that stays idle because the gateways hear nothing of each other.
+TEST_CASE("without any reports a returned engine gets no more than its slots in its first second and its share later [pace]")
+{
+    PacedFleet paced(true, kLoad);
+    paced.setReportLoss(1);
+    paced.script(0, downBetween(2s, 4s));
+    paced.restartAt(0, 4s);
+    paced.run(20s);
+    MESSAGE("no reports, sends/peak per 500 ms from 4 s: ", paced.curve(0, 4s, 14s), outcomeText(paced));
+    CHECK(paced.peak(0, 4s, 5s) <= kSlots);
+    REQUIRE(paced.timeToShare(0, 4s));
+    MESSAGE("80 % of its share after ms: ", paced.timeToShare(0, 4s)->count());
+    // All gateways are selected after four turns of a second without a send.
+    CHECK(*paced.timeToShare(0, 4s) <= kDirectoryInterval + 4s + kRampBound);
+}
--- a/tests/platform/directory_task.test.cpp
+++ b/tests/platform/directory_task.test.cpp
@@ -80,6 +80,32 @@
     CHECK_FALSE(fixture.state.registry.find(EndpointId("good")));
 }
 
+// Guards against slow starts of all endpoints when a gateway starts, and against triggers that are lost.
+TEST_CASE("endpoints that appear after the first listing, restart or load weights enter slow start [directory]")
+{
+    const auto record = [](const std::string& id, int born, int weights, std::uint64_t offset) {
+        return DirectoryRecord { id, R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","born":)" + std::to_string(born) + R"(,"models":[{"name":"m","version":)" + std::to_string(weights) + "}]}", LogOffset(offset) };
+    };
+    for (const bool isOn : { true, false }) {
+        Fixture fixture;
+        if (isOn)
+            fixture.state.overload.recordSharedMachine(ServiceId("s"));
+        const auto isPaced = [&](const std::string& id) {
+            const auto* entry = fixture.state.registry.find(EndpointId(id));
+            REQUIRE(entry);
+            return fixture.state.paces.isInSlowStart(instanceOf(*entry));
+        };
+        fixture.directory.answer(DirectoryTopic::Endpoints, DirectoryPage { { record("a", 1, 1, 1), record("b", 1, 1, 2), record("c", 1, 1, 3) }, LogOffset(4) });
+        for (const auto* id : { "a", "b", "c" })
+            CHECK_FALSE(isPaced(id));
+        fixture.task.applyPeerRecords(DirectoryTopic::Endpoints, { record("a", 2, 1, 5), record("b", 1, 2, 6), record("d", 1, 1, 7), record("c", 1, 1, 8) });
+        CHECK(isPaced("a") == isOn);
+        CHECK(isPaced("b") == isOn);
+        CHECK(isPaced("d") == isOn);
+        CHECK_FALSE(isPaced("c"));
+    }
+}
+
 TEST_CASE("a truncated log triggers a new listing, which removes missing entries [directory]")
 {
     Fixture fixture;
