Record sends and their outcomes for the pace

A request records its send, the first event or complete response, and its end, where overload control is on for its service when it is sent. A stream counts as in time or late when its first event arrives, since its end may be far off. A refused connection counts as a failed send, although the load estimate takes it for abandoned. Failures that start a backoff and Retry-After start slow start.

--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -196,7 +196,7 @@
     const auto now = MonotonicClock::now();
     if (refuseQuarantined(now))
         return true;
-    const auto placement = m_state.placer.choose(makePlacementRequest(now), { m_state.registry, m_state.loads, m_state.advisories, m_state.blocks }, now);
+    const auto placement = m_state.placer.choose(makePlacementRequest(now), { m_state.registry, m_state.loads, m_state.advisories, m_state.blocks, m_state.overload.isOn(m_service) ? &m_state.paces : nullptr }, now);
     const auto* endpoint = placement.endpoint ? m_state.registry.find(*placement.endpoint) : nullptr;
     // An interrupted stream is resumed without waiting for capacity, since its caller is waiting for the next event.
     if (endpoint && !placement.hasRoom && !m_hasBegunResponse)
@@ -329,6 +329,7 @@
         m_state.blocks.recordUse(endpoint.id, *placement.blocks, now);
     m_state.loads.sent(endpoint.id, m_sendNumber, placement.prefillTokens, now);
     m_state.advisories.recordSend(instanceOf(endpoint), now);
+    recordPaceSend(placement, now);
     const auto metadata = forwardMetadata(endpoint, placement, now);
     m_requiredWeights = metadata.requiredWeights;
     if (placement.blocks)
@@ -354,6 +355,39 @@
     }
 }
 
+void GatewayRequest::recordPaceSend(const Placement& placement, MonotonicTime now)
+{
+    m_expectedAnswer = placement.expectedWait;
+    m_isPaceAnswerRecorded = false;
+    m_isPaced = m_state.overload.isOn(m_service);
+    if (placement.isHeldBack)
+        m_state.metrics.add(Counter::SendsHeldBack);
+    if (m_isPaced)
+        m_state.paces.recordSend({ m_endpoint, m_incarnation, m_service }, now);
+}
+
+void GatewayRequest::recordPaceAnswer(MonotonicTime now)
+{
+    if (m_isPaced && !std::exchange(m_isPaceAnswerRecorded, true))
+        m_state.paces.recordAnswer({ m_endpoint, m_incarnation, m_service }, now - m_sentAt, m_expectedAnswer, now);
+}
+
+void GatewayRequest::recordPaceEnd(SendOutcome outcome, MonotonicTime now)
+{
+    if (!m_isPaced)
+        return;
+    // The latency of a response that has begun has been recorded.
+    const bool isRecorded = outcome == SendOutcome::Served && m_isPaceAnswerRecorded;
+    m_state.paces.recordOutcome({ m_endpoint, m_incarnation, m_service }, isRecorded ? SendOutcome::Abandoned : outcome, now - m_sentAt, m_expectedAnswer, now);
+}
+
+void GatewayRequest::startPaceIfFailing(MonotonicTime now)
+{
+    const auto* entry = m_state.registry.find(m_endpoint);
+    if (entry && entry->incarnation == m_incarnation && m_state.loads.isFailing(m_endpoint, now))
+        m_state.startPace(instanceOf(*entry), entry->slots, PaceCause::BackoffEnds, now);
+}
+
 void GatewayRequest::logPlacement(const Placement& placement, MonotonicTime now) const
 {
     logEvent(LogEvent::RequestPlaced,
@@ -375,7 +409,7 @@
     m_responseMetadata = m_state.wire.decodeResponse(head);
     recordLoad(now);
     if (m_responseMetadata.weights && m_metadata.model)
-        m_state.registry.recordWeights(m_endpoint, *m_metadata.model, *m_responseMetadata.weights);
+        m_state.recordWeights(m_endpoint, *m_metadata.model, *m_responseMetadata.weights, now);
     if (m_route->isStreaming && head.status / kStatusClass == kSuccessClass && m_responseMetadata.isSigned)
         m_responseMode = ResponseMode::Streamed;
     m_responseHead = std::move(head);
@@ -417,8 +451,10 @@
 {
     const auto& retryAfter = m_responseMetadata.advice.retryAfter;
     const auto* entry = m_state.registry.find(m_endpoint);
-    if (retryAfter && m_state.advisories.recordRetryAfter(endpoint, entry ? entry->slots : 1, *retryAfter, now))
+    if (retryAfter && m_state.advisories.recordRetryAfter(endpoint, entry ? entry->slots : 1, *retryAfter, now)) {
+        m_state.startPace(endpoint, entry ? entry->slots : 1, PaceCause::PauseEnds, now);
         logEvent(LogEvent::EndpointPaused, { { "endpoint", m_endpoint.value() }, { "ms", retryAfter->count() }, { "request", m_metadata.requestId } });
+    }
 }
 
 void GatewayRequest::onBody(std::string_view bytes)
@@ -502,6 +538,7 @@
 void GatewayRequest::recordAnswer(MonotonicTime now)
 {
     m_hasFirstEvent = true;
+    recordPaceAnswer(now);
     logQuarantineChanges(m_state.quarantine.runAnswered(m_sharedParts, now));
     m_state.quarantine.engineAnswered(m_engine, m_sentAt, now);
 }
@@ -598,8 +635,11 @@
         onRunLost(reason);
         return;
     }
+    recordPaceEnd(SendOutcome::Failed, now);
+    m_isPaced = false;
     endSend(SendOutcome::Abandoned);
     m_state.loads.unreachable(m_endpoint, now);
+    startPaceIfFailing(now);
     --m_sendCount;
     ++m_connectFailures;
     if (m_connectFailures < kMaxConnectFailures && now < m_deadline) {
@@ -699,7 +739,11 @@
     m_isSending = false;
     m_exchange.reset();
     m_overdueTimer.clear();
-    m_state.loads.finished(m_endpoint, m_sendNumber, outcome, MonotonicClock::now());
+    const auto now = MonotonicClock::now();
+    m_state.loads.finished(m_endpoint, m_sendNumber, outcome, now);
+    recordPaceEnd(outcome, now);
+    if (outcome == SendOutcome::Failed)
+        startPaceIfFailing(now);
 }
 
 void GatewayRequest::refuse(const Refusal& refusal)
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -67,6 +67,11 @@
     /// Records what the engine asks for in its response.
     void recordAdvice(MonotonicTime now);
     void recordPause(const EndpointInstance& endpoint, MonotonicTime now);
+    void recordPaceSend(const Placement& placement, MonotonicTime now);
+    void recordPaceAnswer(MonotonicTime now);
+    void recordPaceEnd(SendOutcome outcome, MonotonicTime now);
+    /// Starts the slow start of the endpoint if its sends have failed so often that it is avoided.
+    void startPaceIfFailing(MonotonicTime now);
     void onBody(std::string_view bytes);
     void onComplete();
     void onFailed(ExchangeFailure failure, const std::string& reason);
@@ -123,6 +128,9 @@
     EngineKey m_engine = 0;
     std::uint64_t m_sendNumber = 0;
     MonotonicTime m_sentAt {};
+    Duration m_expectedAnswer {}; ///< of the current send
+    bool m_isPaced = false; ///< the current send is counted by the pace
+    bool m_isPaceAnswerRecorded = false;
     bool m_isSending = false;
     bool m_hasFirstEvent = false; ///< the endpoint has answered the current send with an event or a complete response
     std::optional<Duration> m_timeToFirstPiece; ///< measured from the arrival of the request
