Prefer full endpoints to ones that have just failed

An endpoint with fast errors has free slots all the time, so with all others full it got every request until its backoff began. Its free slots do not count while the gateway holds back after a failure; a response in time ends the hold.

--- a/src/hornbeamgate/gateway/endpoint_pace.cpp
+++ b/src/hornbeamgate/gateway/endpoint_pace.cpp
@@ -327,6 +327,7 @@
     if (isInTime) {
         ++state.credit;
         state.failures = 0;
+        state.heldUntil = {};
         state.hasServed = true;
         state.hasAnswered = true;
         // Checked here only: credit from before a fall that this daemon has not noticed must not end the slow start.
@@ -440,7 +441,7 @@
     if (!state->isActive)
         return now >= state->releasedAt || state->inProgress < state->releaseShare ? PaceTier::Admitted : PaceTier::HeldBack;
     if (now < state->heldUntil)
-        return PaceTier::HeldBack;
+        return PaceTier::Failing;
     const auto& standing = standingOf(*state, endpoint.id, now);
     if (state->inProgress < standing.share)
         return PaceTier::Admitted;
--- a/src/hornbeamgate/gateway/endpoint_pace.hpp
+++ b/src/hornbeamgate/gateway/endpoint_pace.hpp
@@ -60,6 +60,7 @@
     Admitted, ///< the endpoint is not in slow start, or within its limit
     WithinSlots, ///< above the limit, but within this daemon's share of the endpoint's slots
     HeldBack,
+    Failing, ///< a send of this daemon failed a short time ago
 };
 
 /// Limits the requests in progress at endpoints that have just started or recovered.
@@ -206,7 +207,8 @@
 };
 
 /// Chooses the cheapest candidate that the pace admits. If none of these has a free slot, chooses one with a free slot that is
-/// within this daemon's share of the slots, and then any with a free slot, so that no request waits beside a free slot.
+/// within this daemon's share of the slots, and then any with a free slot, so that no request waits beside a free slot. Free
+/// slots of endpoints that have just failed do not count: fast errors leave all slots free.
 /// `Candidate` has a member `cost`.
 template <typename Candidate>
 class PacedChoice {
@@ -214,23 +216,23 @@
     void add(const Candidate& candidate, PaceTier tier, bool hasFreeSlot)
     {
         m_hasRoom = m_hasRoom || (tier == PaceTier::Admitted && hasFreeSlot);
-        const auto index = tier == PaceTier::Admitted || hasFreeSlot ? static_cast<std::size_t>(tier) : kFull;
-        auto& best = m_best[index];
+        const bool isUsable = tier == PaceTier::Admitted || (hasFreeSlot && tier != PaceTier::Failing);
+        auto& best = m_best[isUsable ? static_cast<std::size_t>(tier) : kUnusable];
         if (!best || candidate.cost < best->cost)
             best = candidate;
     }
 
     const std::optional<Candidate>& best() const
     {
-        constexpr std::array<std::size_t, kKinds> kOrder { static_cast<std::size_t>(PaceTier::WithinSlots), static_cast<std::size_t>(PaceTier::HeldBack), static_cast<std::size_t>(PaceTier::Admitted), kFull };
-        const auto& admitted = m_best[static_cast<std::size_t>(PaceTier::Admitted)];
+        const auto& admitted = of(PaceTier::Admitted);
         if (m_hasRoom)
             return admitted;
-        for (const auto index : kOrder) {
-            if (m_best[index])
-                return m_best[index];
-        }
-        return admitted;
+        if (of(PaceTier::WithinSlots))
+            return of(PaceTier::WithinSlots);
+        if (of(PaceTier::HeldBack))
+            return of(PaceTier::HeldBack);
+        const auto& unusable = m_best[kUnusable];
+        return !admitted || (unusable && unusable->cost < admitted->cost) ? unusable : admitted;
     }
 
     /// Whether the pace keeps back a cheaper candidate than the chosen one.
@@ -239,18 +241,16 @@
         const auto& chosen = best();
         if (!chosen || !m_hasRoom)
             return false;
-        for (const auto tier : { PaceTier::WithinSlots, PaceTier::HeldBack }) {
-            const auto& held = m_best[static_cast<std::size_t>(tier)];
-            if (held && held->cost < chosen->cost)
-                return true;
-        }
-        return false;
+        const auto isCheaper = [&](PaceTier tier) { return of(tier) && of(tier)->cost < chosen->cost; };
+        return isCheaper(PaceTier::WithinSlots) || isCheaper(PaceTier::HeldBack);
     }
 
 private:
-    static constexpr std::size_t kFull = 3; ///< not admitted and without a free slot
+    static constexpr std::size_t kUnusable = 3; ///< not admitted, and without a free slot or failing
     static constexpr std::size_t kKinds = 4;
 
+    const std::optional<Candidate>& of(PaceTier tier) const { return m_best[static_cast<std::size_t>(tier)]; }
+
     std::array<std::optional<Candidate>, kKinds> m_best;
     bool m_hasRoom = false; ///< an admitted candidate has a free slot
 };
--- a/tests/gateway/endpoint_pace.test.cpp
+++ b/tests/gateway/endpoint_pace.test.cpp
@@ -248,3 +248,22 @@
     }
     CHECK(paces.report(at(100ms)).entries.size() == 32);
 }
+
+// Guards against requests that go to an engine with fast errors because it alone has free slots.
+TEST_CASE("an endpoint that has just failed is not preferred to full ones [pace]")
+{
+    struct Candidate {
+        int cost = 0;
+    };
+    PacedChoice<Candidate> choice;
+    choice.add({ 5 }, PaceTier::Admitted, false);
+    choice.add({ 9 }, PaceTier::Failing, true);
+    CHECK(choice.best()->cost == 5);
+    choice.add({ 3 }, PaceTier::Failing, true);
+    CHECK(choice.best()->cost == 3);
+    choice.add({ 8 }, PaceTier::HeldBack, true);
+    CHECK(choice.best()->cost == 8);
+    choice.add({ 7 }, PaceTier::Admitted, true);
+    CHECK(choice.best()->cost == 5);
+    CHECK_FALSE(choice.isHeldBack());
+}
