Bound the reported slow starts by the size of the fleet

At 360 gateways 32 entries of about 15 bytes to each peer and second were 173 KB/s for each gateway (by calculation). With 4 they are 22 KB/s, in the seconds of a mass restart only, when the pace hardly applies.

--- a/src/hornbeamgate/gateway/endpoint_pace.cpp
+++ b/src/hornbeamgate/gateway/endpoint_pace.cpp
@@ -39,8 +39,11 @@
     constexpr milliseconds kJoinTime { 1500 };
     /// How long the end of a slow start is reported, since individual reports may be lost.
     constexpr milliseconds kDoneReportTime { 3000 };
-    /// Endpoints in a report, about 13 bytes each. When more are in slow start, those with the latest changes are reported.
+    /// Endpoints in a report, about 15 bytes each, which go to each daemon of the fleet. When more are in slow start, those with
+    /// the latest changes are reported. The sum over the fleet keeps the traffic of a large fleet near that of 31 daemons.
     constexpr std::size_t kMaxReported = 32;
+    constexpr std::size_t kMinReported = 4;
+    constexpr std::size_t kReportedToFleet = 1000;
     /// Time for which a ranking is used; below the report interval, after which it may change. Ranking 680 endpoints among 360
     /// daemons for each report or request would take too long.
     constexpr milliseconds kStandingLifetime { 100 };
@@ -463,8 +466,9 @@
             known.emplace_back(state.changedAt, PaceEntry { keyOf(id, state.incarnation), state.credit, state.sends, state.falls, state.failures > 0, state.inProgress > 0, isDone });
     }
     std::stable_sort(known.begin(), known.end(), [](const auto& left, const auto& right) { return left.first > right.first; });
+    const auto most = std::clamp(kReportedToFleet / (m_others.size() + 1), kMinReported, kMaxReported);
     PaceReport report;
-    for (std::size_t i = 0; i < std::min(known.size(), kMaxReported); ++i)
+    for (std::size_t i = 0; i < std::min(known.size(), most); ++i)
         report.entries.push_back(known[i].second);
     return report;
 }
--- a/tests/gateway/endpoint_pace.test.cpp
+++ b/tests/gateway/endpoint_pace.test.cpp
@@ -238,7 +238,7 @@
 }
 
 // Guards against datagrams that grow with the fleet when all engines restart.
-TEST_CASE("a report lists at most 32 endpoints [pace]")
+TEST_CASE("a report lists at most 32 endpoints, and 4 in a fleet of 360 daemons [pace]")
 {
     EndpointPaces paces { HostId("front-0") };
     for (int i = 0; i < 680; ++i) {
@@ -247,6 +247,11 @@
         serve(paces, endpoint, 100ms);
     }
     CHECK(paces.report(at(100ms)).entries.size() == 32);
+    std::vector<HostId> others;
+    for (int i = 1; i < 360; ++i)
+        others.emplace_back("front-" + std::to_string(i));
+    paces.setFleet(others);
+    CHECK(paces.report(at(100ms)).entries.size() == 4);
 }
 
 // Guards against requests that go to an engine with fast errors because it alone has free slots.
