Declare the judge and the state machine of version rollouts

Cause: the runtime half is built at the same time against these interfaces. Syntax checked only; nothing is implemented yet.

--- /dev/null
+++ b/src/hornbeamgate/gateway/version_rollout.hpp
@@ -0,0 +1,368 @@
+#pragma once
+
+#include "hornbeamgate/base/ids.hpp"
+#include "hornbeamgate/base/time.hpp"
+#include "hornbeamgate/gateway/endpoint_registry.hpp"
+#include "hornbeamgate/gateway/version_judge.hpp"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hornbeamgate::gateway {
+
+/// Operator's order to move the traffic of a service to a version.
+struct RolloutOrder {
+    ServiceId service;
+    std::string version;
+    std::chrono::milliseconds duration {};
+    LogOffset offset; ///< of the operator's record; tells two orders for one version apart
+
+    bool operator==(const RolloutOrder&) const = default;
+};
+
+enum class RolloutState {
+    Running,
+    Completed,
+    RolledBack,
+};
+
+/// Part of a running rollout.
+enum class RolloutPhase {
+    Observe, ///< the new version gets a small share of the requests
+    Shift, ///< the traffic moves to the new version
+};
+
+/// State of a rollout as recorded in the store.
+struct RolloutStatus {
+    ServiceId service;
+    std::string version;
+    RolloutState state = RolloutState::Running;
+    RolloutPhase phase = RolloutPhase::Observe;
+    LogOffset order;
+
+    bool operator==(const RolloutStatus&) const = default;
+};
+
+struct VersionRolloutLimits {
+    double exposureShare = 0.1; ///< of all requests to a service that a bad version may get
+    std::int64_t exposureSlack = 50; ///< requests that it may get besides, summed over all daemons
+    Duration rollbackBound = std::chrono::milliseconds(5000); ///< from the 50th bad response to the last request
+};
+
+/// What a daemon tells its peers about the rollouts that it knows. All counts are cumulative for an incarnation.
+struct RolloutReport {
+    struct ControlRoute {
+        RouteSample sample;
+        std::chrono::microseconds medianLatency {}; ///< 0 if too few responses are known
+
+        bool operator==(const ControlRoute&) const = default;
+    };
+    struct Service {
+        ServiceId service;
+        LogOffset order;
+        std::chrono::milliseconds age {}; ///< of the order
+        bool isBad = false; ///< the sender holds the verdict "bad"
+        bool isShifted = false; ///< the sender sends no new requests to old engines
+        std::uint64_t oldInProgress = 0; ///< requests of the sender that run on engines of other versions
+        EngineSamples candidate; ///< engines of the new version
+        std::map<std::string, ControlRoute> control; ///< by route name
+
+        bool operator==(const Service&) const = default;
+    };
+
+    std::vector<Service> services;
+
+    bool operator==(const RolloutReport&) const = default;
+};
+
+/// Engines of a service that a request may use, by version.
+class VersionChoice {
+public:
+    /// Allows every engine. For deployments without version rollouts.
+    VersionChoice() = default;
+    /// Allows all versions except `versions`.
+    static VersionChoice allExcept(std::set<std::string> versions);
+    /// Allows only `version`, and of this only `engines` unless that is empty.
+    static VersionChoice only(std::string version, std::set<EndpointId> engines);
+
+    bool allows(const EndpointEntry& endpoint) const;
+    /// Returns whether the request should show how the new version does. If none of the allowed engines can take it, it is
+    /// placed again with `fallback()`.
+    bool hasFallback() const { return m_hasFallback; }
+    VersionChoice fallback() const { return allExcept(m_fallbackExcluded); }
+    VersionChoice& setFallback(std::set<std::string> excluded);
+
+private:
+    std::optional<std::string> m_only;
+    std::set<EndpointId> m_engines;
+    std::set<std::string> m_excluded;
+    bool m_hasFallback = false;
+    std::set<std::string> m_fallbackExcluded;
+};
+
+/// Change of a rollout, for the log.
+struct RolloutEvent {
+    enum class Kind {
+        Ordered,
+        Phase, ///< a state or phase was read from the store
+        Verdict,
+        Invalid, ///< the order can't be carried out; `reason` says why
+    };
+    Kind kind = Kind::Ordered;
+    ServiceId service;
+    std::string version;
+    LogOffset order;
+    RolloutState state = RolloutState::Running;
+    RolloutPhase phase = RolloutPhase::Observe;
+    Judgement judgement;
+    std::string reason;
+};
+
+/// Numbers for the metrics, of this daemon.
+struct RolloutCounters {
+    std::uint64_t exposed = 0; ///< requests sent to a version under observation or in its shift
+    std::uint64_t bad = 0; ///< bad responses of such versions
+};
+
+/// Own counts of one daemon and those of its peers about one order.
+class RolloutEvidence {
+public:
+    /// Reports older than this do not count for the verdict "good".
+    static constexpr std::chrono::milliseconds kFreshness { 3000 };
+
+    void recordCandidate(const EndpointId& engine, const std::string& route, bool isFailure, Duration latency);
+    void recordControl(const std::string& route, bool isFailure, Duration latency);
+    /// `sentAt` is the estimated time at which the peer sent the report.
+    void recordPeer(const HostId& peer, Incarnation incarnation, const RolloutReport::Service& report, MonotonicTime sentAt);
+
+    struct Sums {
+        EngineSamples candidate;
+        RouteSamples control;
+    };
+    Sums sums() const;
+    /// Returns the sums over this daemon's counts and those of reports sent at or after `since`.
+    Sums sumsSince(MonotonicTime since) const;
+    /// Returns whether `peers` peers reported since `since` that they have no more requests on old engines.
+    bool areOldEnginesIdle(std::size_t peers, MonotonicTime since) const;
+    void fill(RolloutReport::Service& report) const;
+
+private:
+    /// Latencies of a route in buckets whose width grows with the latency.
+    struct LatencyHistogram {
+        static constexpr std::size_t kBuckets = 192;
+        std::array<std::uint32_t, kBuckets> counts {};
+        std::uint64_t total = 0;
+        void add(Duration latency);
+        std::chrono::microseconds median() const;
+    };
+    struct PeerCounts {
+        MonotonicTime sentAt {};
+        bool isShifted = false;
+        std::uint64_t oldInProgress = 0;
+        EngineSamples candidate;
+        std::map<std::string, RolloutReport::ControlRoute> control;
+    };
+
+    /// Returns the median latency of the control group on a route, or 0 if it is unknown.
+    std::chrono::microseconds medianLatency(const std::string& route) const;
+    bool isBad(const std::string& route, bool isFailure, Duration latency) const;
+
+    EngineSamples m_candidate;
+    RouteSamples m_control;
+    std::map<std::string, LatencyHistogram> m_latencies; ///< of the control group, by route
+    std::map<HostId, std::map<Incarnation, PeerCounts>> m_peers;
+};
+
+/// Carries out one order to move a service to a version.
+///
+/// Every daemon limits by itself how many requests it sends to the new version, so that the bound on exposure holds whatever
+/// daemons can tell each other. The state in the store decides when traffic shifts; only the verdict "bad" takes effect
+/// without it.
+///
+/// Designed for up to 360 daemons that each send a few requests a second, new versions that fail at once, later, under load
+/// or on one route, and a store or network that fails meanwhile.
+class VersionRollout {
+public:
+    /// Part of the exposure that the observation uses; the rest covers daemons that restart and count from zero.
+    static constexpr double kObservedShare = 0.6;
+    /// Ends of the phases as fractions of the order's duration.
+    static constexpr double kCautiousEnd = 0.15;
+    static constexpr double kVersionWaitEnd = 0.5;
+    static constexpr double kObserveEnd = 0.6;
+    static constexpr double kLatestShift = 0.8;
+    static constexpr double kGiveUp = 0.85;
+    static constexpr double kLatestCompletion = 0.95;
+    static constexpr double kShiftStep = 0.05;
+    /// Responses of the new version below which no shift begins.
+    static constexpr std::uint64_t kMinResponses = 30;
+    /// Bad responses beyond those the control group explains after which the version gets no more requests.
+    static constexpr double kMaxUnexplainedBad = 40;
+
+    VersionRollout(const VersionRolloutLimits& limits, const HostId& self, RolloutOrder order, bool isTrusted, MonotonicTime orderedAt);
+
+    const RolloutOrder& order() const { return m_order; }
+    Duration age(MonotonicTime now) const { return now - m_orderedAt; }
+    /// Corrects the age of the order if another daemon knows it for longer.
+    void setAge(std::chrono::milliseconds age, MonotonicTime now);
+    void setStatus(const RolloutStatus& status, MonotonicTime now);
+    void setFleet(std::size_t runningDaemons);
+    /// Sets the engines of the new version and whether the service has any engine.
+    void setEngines(const std::set<EndpointId>& candidates, bool isServiceKnown);
+    void abort(MonotonicTime now);
+
+    bool isRunning() const { return m_state == RolloutState::Running; }
+    RolloutState state() const { return m_state; }
+    /// Returns whether the new version must get no requests.
+    bool isStopped() const { return m_isBad || m_isAborted || m_state == RolloutState::RolledBack; }
+    /// Returns whether the version is in regular use already, so that it is not observed.
+    bool isTrusted() const { return m_isTrusted; }
+    /// Returns whether old engines get no new requests.
+    bool isShifted(MonotonicTime now) const;
+    /// Returns whether the next request should go to the new version.
+    bool takesNext(MonotonicTime now) const;
+    /// Engines of the new version that get requests.
+    const std::set<EndpointId>& engines() const { return m_phase == RolloutPhase::Shift ? m_candidates : m_canaries; }
+
+    void recordSend(bool isCandidate, MonotonicTime now);
+    RolloutEvidence& evidence() { return m_evidence; }
+    const RolloutEvidence& evidence() const { return m_evidence; }
+    void recordVerdictOfPeer(MonotonicTime now);
+    /// Judges the evidence if it is due. Returns the judgement if the verdict changed.
+    std::optional<Judgement> judge(MonotonicTime now);
+    bool isBad() const { return m_isBad; }
+
+    /// Returns the state to write now, if any. `oldInProgress` is this daemon's number of requests on old engines.
+    std::optional<RolloutStatus> takeWrite(bool isLeader, std::uint64_t oldInProgress, MonotonicTime now);
+    /// Returns why the order can't be carried out, or an empty text.
+    std::string invalidReason(MonotonicTime now) const;
+
+private:
+    bool isPast(double fraction, MonotonicTime now) const;
+    double creditPerSend(MonotonicTime now) const;
+    double shiftShare(MonotonicTime now) const;
+    std::optional<RolloutStatus> dueWrite(bool isLeader, std::uint64_t oldInProgress, MonotonicTime now) const;
+    RolloutStatus status(RolloutState state, RolloutPhase phase) const { return { m_order.service, m_order.version, state, phase, m_order.offset }; }
+    void stop(MonotonicTime now);
+    EngineSamples withAllEngines(EngineSamples samples) const;
+
+    VersionRolloutLimits m_limits;
+    HostId m_self;
+    RolloutOrder m_order;
+    bool m_isTrusted;
+    MonotonicTime m_orderedAt;
+    RolloutState m_state = RolloutState::Running;
+    RolloutPhase m_phase = RolloutPhase::Observe;
+    bool m_isRecorded = false; ///< the store has a state of this order
+    std::optional<MonotonicTime> m_shiftReadAt;
+    std::set<EndpointId> m_candidates;
+    std::set<EndpointId> m_canaries;
+    bool m_isServiceKnown = false;
+    bool m_isVersionSeen = false;
+    std::size_t m_fleet = 0; ///< highest number of daemons since the order; 0 if unknown
+
+    double m_credit = 0; ///< sends to the new version that the share allows, without the slack
+    std::uint64_t m_sends = 0; ///< of this daemon to the service
+    std::uint64_t m_exposed = 0; ///< of these, to the new version while it is observed
+    std::uint64_t m_sendsSinceExposed = 0;
+    double m_shiftCredit = 0;
+
+    RolloutEvidence m_evidence;
+    std::vector<RolloutEvidence::Sums> m_checkpoints; ///< from which further tests start
+    MonotonicTime m_nextCheckpoint {};
+    MonotonicTime m_nextJudgement {};
+    Verdict m_verdict = Verdict::Undecided;
+    bool m_isBad = false;
+    bool m_isAborted = false;
+    MonotonicTime m_stoppedAt {};
+    MonotonicTime m_nextWrite {};
+};
+
+/// The rollouts of all services, and which versions of each may get requests.
+class VersionRollouts {
+public:
+    /// A version that appears is held back until the operators' records were confirmed, which takes at most this long unless
+    /// the store is silent.
+    static constexpr std::chrono::milliseconds kUnknownVersionTimeout { 4000 };
+
+    VersionRollouts(VersionRolloutLimits limits, HostId self);
+
+    /// `age` is the time since the store acknowledged the order, or nothing if the order was found at start-up. A repeated
+    /// order (same offset) is ignored.
+    void setOrder(const RolloutOrder& order, std::optional<std::chrono::milliseconds> age, MonotonicTime now);
+    /// Ends the order of a service: the operator has removed it. The version gets no more requests.
+    void removeOrder(const ServiceId& service, MonotonicTime now);
+    /// Handles a state as read from the store. A state of an order that is not known yet is kept for it.
+    void setStatus(const RolloutStatus& status, MonotonicTime now);
+    /// The states in the store were read to their end. Before, a version under rollout gets requests only if there is no
+    /// other.
+    void statusConfirmed();
+    /// `runningGateways` includes this daemon and all that may be running.
+    void setFleet(std::size_t runningGateways);
+    void setEndpoints(const EndpointRegistry& registry, MonotonicTime now);
+    /// The store has confirmed that all operators' records up to `asOf` are known: `asOf` is the time at which the read was
+    /// sent. All records that it returned must have been passed to `setOrder` before.
+    void operatorsConfirmed(MonotonicTime asOf);
+
+    /// Returns the engines that a request of the service may use now. Called for each send, including retries.
+    VersionChoice choose(const ServiceId& service, MonotonicTime now) const;
+    void recordSend(const EndpointEntry& endpoint, MonotonicTime now);
+    /// Records a response. `isFailure`: status 500 or more that is not "not executed", malformed, or broken off. `latency` is
+    /// the time to the first event of a stream, else to the whole response. Not called for a connection that could not be
+    /// opened, or for a request that was rejected as "not executed".
+    void recordResponse(const EndpointEntry& endpoint, const std::string& route, bool isFailure, Duration latency, MonotonicTime now);
+    /// The send has ended, with any outcome. Called once for each `recordSend`, after `recordResponse`.
+    void recordEnd(const EndpointEntry& endpoint);
+
+    RolloutReport report(MonotonicTime now) const; ///< for `PeerReport`
+    void recordPeerReport(const HostId& peer, Incarnation incarnation, const RolloutReport& report, MonotonicTime now);
+
+    /// Returns a state that this daemon should write now, if any. Called until it returns nothing. A state is returned again
+    /// after `kWriteInterval` unless it was read from the store meanwhile.
+    std::optional<RolloutStatus> takeWrite(bool isLeader, MonotonicTime now);
+    static constexpr std::chrono::milliseconds kWriteInterval { 300 };
+
+    std::vector<RolloutEvent> takeEvents();
+    const RolloutCounters& counters() const { return m_counters; }
+
+private:
+    struct HeldVersion {
+        MonotonicTime firstSeen;
+    };
+    struct Service {
+        std::optional<VersionRollout> rollout; ///< of the newest order, also after its end
+        std::optional<RolloutStatus> status; ///< newest read from the store
+        std::map<std::string, std::set<EndpointId>> engines; ///< listed, by version
+        std::map<std::string, HeldVersion> held; ///< versions for which no operator's record may be known yet
+        std::set<std::string> released; ///< versions that were in use or whose order is known
+        std::set<std::string> excluded; ///< versions of ended orders, until their engines are gone
+        std::set<std::string> baseline; ///< versions in use when the newest order came
+        std::map<EndpointId, std::uint64_t> inProgress;
+        bool isInvalidLogged = false;
+    };
+
+    /// Returns the versions that must get no requests; without the one that is being rolled out.
+    std::set<std::string> blocked(const Service& service, MonotonicTime now) const;
+    void applyStatus(Service& service, MonotonicTime now);
+    void judge(Service& service, MonotonicTime now);
+    void finish(Service& service);
+    static std::uint64_t oldInProgress(const Service& service);
+    void addEvent(RolloutEvent::Kind kind, const Service& service, Judgement judgement = {}, std::string reason = {});
+
+    VersionRolloutLimits m_limits;
+    HostId m_self;
+    std::size_t m_fleet = 0;
+    bool m_isStatusConfirmed = false;
+    std::optional<MonotonicTime> m_operatorsConfirmedAsOf;
+    std::map<ServiceId, Service> m_services;
+    std::map<HostId, std::map<ServiceId, RolloutReport::Service>> m_pending; ///< reports about orders not known yet
+    std::vector<RolloutEvent> m_events;
+    RolloutCounters m_counters;
+};
+
+} // namespace hornbeamgate::gateway
