Decode rollout orders and states, and drive version rollouts from the runtime

Cause: the plan's version rollouts need the platform's records, the status topic, the peers' counts and the writes around the decision modules. An operator's unreadable record is ignored and does not count as a removed one, which would abort a rollout. Ruled out: repeating a failed append as such, since a lost response may hide a later state; the state machine asks again and the store is read before each append.

--- a/src/hornbeamgate/gateway/directory_replica.cpp
+++ b/src/hornbeamgate/gateway/directory_replica.cpp
@@ -7,7 +7,7 @@
 
 std::string_view topicName(DirectoryTopic topic)
 {
-    constexpr std::array<std::string_view, kDirectoryTopics> kNames { "operators", "endpoints", "daemons" };
+    constexpr std::array<std::string_view, kDirectoryTopics> kNames { "operators", "endpoints", "daemons", "status" };
     return kNames[static_cast<std::size_t>(topic)];
 }
 
--- a/src/hornbeamgate/gateway/directory_replica.hpp
+++ b/src/hornbeamgate/gateway/directory_replica.hpp
@@ -18,6 +18,7 @@
     Operators, ///< configuration and weights
     Endpoints,
     Daemons,
+    Status, ///< states of version rollouts; followed only while version rollouts are on
     TopicCount,
 };
 inline constexpr std::size_t kDirectoryTopics = static_cast<std::size_t>(DirectoryTopic::TopicCount);
--- a/src/hornbeamgate/gateway/peer_report.cpp
+++ b/src/hornbeamgate/gateway/peer_report.cpp
@@ -1,6 +1,7 @@
 #include "hornbeamgate/gateway/peer_report.hpp"
 
 #include "hornbeamgate/gateway/quarantine_codec.hpp"
+#include "hornbeamgate/gateway/rollout_report_codec.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -85,7 +86,7 @@
         blockUses.push_back(json::array({ blockUse.endpoint.value(), blockUse.blocks, blockUse.age.count() }));
     return toCbor(json::array({ report.host.value(), report.incarnation.value(), std::move(ends), std::move(drawn), std::move(loading),
         report.address.ip, report.address.port, std::move(loaded), std::move(pendingPrefills), report.leadership.isLeader, report.leadership.resignations, report.isLeaving, json::array(), std::move(blockUses),
-        report.leadership.generation.value(), report.leadership.resignedGeneration.value(), std::move(targetAges), std::move(orderAges), report.isAskingForOrderAges, encodeQuarantine(report.quarantine), encodeAdvisories(report.advisories) }));
+        report.leadership.generation.value(), report.leadership.resignedGeneration.value(), std::move(targetAges), std::move(orderAges), report.isAskingForOrderAges, encodeQuarantine(report.quarantine), encodeAdvisories(report.advisories), encodeRolloutReport(report.rollouts) }));
 }
 
 Result<PeerReport, CodecError> decodePeerReport(BytesView encoded)
@@ -96,6 +97,10 @@
     constexpr std::size_t kFieldsWithoutQuarantine = 19;
     /// Reports of daemons that do not keep to limits of endpoints end here.
     constexpr std::size_t kFieldsWithoutAdvisories = 20;
+    /// Reports of daemons that do not know version rollouts end here.
+    constexpr std::size_t kFieldsWithoutRollouts = 21;
+    /// Daemons that do not know version rollouts report the ends of this many topics.
+    constexpr std::size_t kTopicsWithoutStatus = 3;
     const auto value = fromCbor(encoded);
     if (!value)
         return failure(value.error());
@@ -103,8 +108,9 @@
         PeerReport report;
         report.host = HostId(value->at(0).get<std::string>());
         report.incarnation = Incarnation(value->at(1).get<std::uint64_t>());
-        for (std::size_t i = 0; i < kDirectoryTopics; ++i)
-            report.directoryEnds[i] = LogOffset(value->at(2).at(i).get<std::uint64_t>());
+        const auto& ends = value->at(2);
+        for (std::size_t i = 0; i < kDirectoryTopics && i < std::max(ends.size(), kTopicsWithoutStatus); ++i)
+            report.directoryEnds[i] = LogOffset(ends.at(i).get<std::uint64_t>());
         for (const auto& item : value->at(3))
             report.drawn[WorkspaceId(item.at(0).get<std::string>())] = item.at(1).get<std::int64_t>();
         for (const auto& item : value->at(4))
@@ -133,6 +139,8 @@
             report.quarantine = decodeQuarantine(value->at(19));
         if (value->size() > kFieldsWithoutAdvisories)
             report.advisories = decodeAdvisories(value->at(20));
+        if (value->size() > kFieldsWithoutRollouts)
+            report.rollouts = decodeRolloutReport(value->at(21));
         return report;
     } catch (const json::exception& error) {
         return failure(CodecError { error.what() });
--- a/src/hornbeamgate/gateway/peer_report.hpp
+++ b/src/hornbeamgate/gateway/peer_report.hpp
@@ -7,6 +7,7 @@
 #include "hornbeamgate/gateway/endpoint_advisories.hpp"
 #include "hornbeamgate/gateway/prompt_quarantine.hpp"
 #include "hornbeamgate/gateway/rollout_election.hpp"
+#include "hornbeamgate/gateway/version_rollout.hpp"
 #include "hornbeamgate/gateway/weights_rollout.hpp"
 #include "hornbeamgate/gateway/workspace_rate_limiter.hpp"
 
@@ -45,6 +46,7 @@
     std::map<EndpointId, std::int64_t> pendingPrefillTokens; ///< prompt tokens sent to engines that still wait for prefill
     QuarantineReport quarantine;
     AdvisoryReport advisories;
+    RolloutReport rollouts;
 };
 
 Bytes encodePeerReport(const PeerReport& report);
--- a/src/hornbeamgate/gateway/placement.cpp
+++ b/src/hornbeamgate/gateway/placement.cpp
@@ -148,7 +148,9 @@
 {
     std::vector<const EndpointEntry*> entries;
     for (const auto& [id, entry] : view.registry.entries()) {
-        if (entry.service == request.service && !entry.isLeaving && !view.advisories.isLeaving(instanceOf(entry)))
+        if (entry.service != request.service || entry.isLeaving || view.advisories.isLeaving(instanceOf(entry)))
+            continue;
+        if (!request.versions || request.versions->allows(entry))
             entries.push_back(&entry);
     }
     const auto isOverdue = [&request](const auto* entry) { return weightsOf(*entry, request) < request.oldestWeights; };
--- a/src/hornbeamgate/gateway/placement.hpp
+++ b/src/hornbeamgate/gateway/placement.hpp
@@ -5,6 +5,7 @@
 #include "hornbeamgate/gateway/endpoint_loads.hpp"
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
 #include "hornbeamgate/gateway/fleet_config.hpp"
+#include "hornbeamgate/gateway/version_rollout.hpp"
 
 #include <cstdint>
 #include <map>
@@ -31,6 +32,7 @@
     WeightsVersion oldestWeights; ///< oldest version of the model that may be used, unless other endpoints answer much sooner
     std::set<EndpointId> tried; ///< endpoints to which the request was already sent
     Duration timeLeft {};
+    std::optional<VersionChoice> versions; ///< versions that the request may run on; any if not set
 };
 
 /// Location of this daemon, which determines the network cost of reaching an endpoint.
--- a/src/hornbeamgate/observability/log.cpp
+++ b/src/hornbeamgate/observability/log.cpp
@@ -69,6 +69,11 @@
         EventEntry { LogEvent::WeightsOrdered, "weights_ordered", LogLevel::Info },
         EventEntry { LogEvent::OrderJournalFailed, "order_journal_failed", LogLevel::Warning },
         EventEntry { LogEvent::ObservationsFailed, "observations_failed", LogLevel::Warning },
+        EventEntry { LogEvent::RolloutOrdered, "rollout_ordered", LogLevel::Info },
+        EventEntry { LogEvent::RolloutPhase, "rollout_phase", LogLevel::Info },
+        EventEntry { LogEvent::RolloutVerdict, "rollout_verdict", LogLevel::Info },
+        EventEntry { LogEvent::RolloutWritten, "rollout_written", LogLevel::Info },
+        EventEntry { LogEvent::RolloutWriteFailed, "rollout_write_failed", LogLevel::Warning },
         EventEntry { LogEvent::DutyChanged, "duty_changed", LogLevel::Info },
         EventEntry { LogEvent::LinesDropped, "lines_dropped", LogLevel::Warning },
     };
--- a/src/hornbeamgate/observability/metrics.cpp
+++ b/src/hornbeamgate/observability/metrics.cpp
@@ -33,6 +33,8 @@
         "hornbeamgate_bookings_executed_total",
         "hornbeamgate_bookings_replayed_total",
         "hornbeamgate_directory_calls_failed_total",
+        "hornbeamgate_requests_exposed_total",
+        "hornbeamgate_version_responses_bad_total",
     };
 
     constexpr std::array<std::string_view, static_cast<std::size_t>(Latency::LatencyCount)> kLatencyNames {
--- a/src/hornbeamgate/observability/metrics.hpp
+++ b/src/hornbeamgate/observability/metrics.hpp
@@ -26,6 +26,8 @@
     BookingsExecuted,
     BookingsReplayed,
     DirectoryCallsFailed,
+    RequestsExposed,
+    VersionResponsesBad,
     CounterCount,
 };
 
--- a/src/hornbeamgate/runtime/gateway/directory.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory.hpp
@@ -6,10 +6,12 @@
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
 #include "hornbeamgate/gateway/fleet_config.hpp"
 #include "hornbeamgate/gateway/rollout_election.hpp"
+#include "hornbeamgate/gateway/version_rollout.hpp"
 #include "hornbeamgate/gateway/weights_rollout.hpp"
 #include "hornbeamgate/runtime/net/http_message.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -34,7 +36,7 @@
     std::string detail;
 };
 
-using DirectoryItem = std::variant<FleetConfig, WeightsTarget, EndpointEntry, DaemonEntry>;
+using DirectoryItem = std::variant<FleetConfig, WeightsTarget, EndpointEntry, DaemonEntry, RolloutOrder, RolloutStatus>;
 
 /// Describes why a directory call failed.
 struct DirectoryError {
@@ -83,6 +85,13 @@
     virtual void readObservations(Callback<std::vector<StoredObservations>> callback) = 0;
     /// Replaces the observations of `host`; empty ones remove them.
     virtual void saveObservations(const HostId& host, const Bytes& observations, Callback<LogOffset> callback) = 0;
+    /// Reads the newest record of every key of the status topic, and its end.
+    virtual void readStatusEnd(Callback<DirectoryPage> callback) = 0;
+    /// Appends the state of a rollout if the status topic ends at `at`, and returns its new end. After an error the record
+    /// may have been appended, or may be appended later while the topic still ends at `at`.
+    virtual void appendStatus(const RolloutStatus& status, LogOffset at, Callback<LogOffset> callback) = 0;
+    /// Returns the service whose rollout is ordered by operators' records of `key`, if they order rollouts.
+    virtual std::optional<ServiceId> findRolloutService(const std::string& key) const = 0;
     /// Decodes the value of a record. The value must be present.
     virtual Result<DirectoryItem, RecordError> decode(DirectoryTopic topic, const DirectoryRecord& record) const = 0;
 };
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -70,8 +70,10 @@
 
 void DirectoryTask::start()
 {
-    for (std::size_t i = 0; i < kDirectoryTopics; ++i)
-        poll(static_cast<DirectoryTopic>(i));
+    for (std::size_t i = 0; i < kDirectoryTopics; ++i) {
+        if (follows(static_cast<DirectoryTopic>(i)))
+            poll(static_cast<DirectoryTopic>(i));
+    }
     registerDaemon();
     updateMembership();
     resumeLeadership();
@@ -80,7 +82,7 @@
 
 PollPolicy DirectoryTask::pollPolicy(DirectoryTopic topic) const
 {
-    if (topic == DirectoryTopic::Operators)
+    if (topic == DirectoryTopic::Operators || topic == DirectoryTopic::Status)
         return PollPolicy::longPoll(m_state.settings.configBound, Duration::zero());
     if (topic == DirectoryTopic::Daemons)
         return PollPolicy::longPoll(m_state.settings.rateWindow, kDaemonsPause);
@@ -113,14 +115,16 @@
         if (topic == DirectoryTopic::Endpoints)
             m_state.registry.directoryRecovered(now);
     }
-    for (const auto& record : page.records)
-        apply(topic, record);
-    if (isListing) {
-        for (const auto& record : m_replica.findWithdrawn(topic, page.records, page.next))
-            apply(topic, record);
-    }
-    if (topic == DirectoryTopic::Operators)
+    applyRecords(topic, page.records);
+    if (isListing)
+        applyRecords(topic, m_replica.findWithdrawn(topic, page.records, page.next));
+    if (topic == DirectoryTopic::Operators) {
         m_state.configConfirmedAt = now;
+        if (m_state.versionRollouts)
+            m_state.versionRollouts->operatorsConfirmed(now - current.poll.pendingTime(now));
+    }
+    if (topic == DirectoryTopic::Status)
+        m_state.versionRollouts->statusConfirmed();
     current.timer.set(current.poll.onAnswer(pollPolicy(topic), page.next, !page.records.empty(), now));
 }
 
@@ -143,10 +147,23 @@
     current.timer.set(next);
 }
 
-void DirectoryTask::applyPeerRecords(DirectoryTopic topic, const std::vector<DirectoryRecord>& records)
+void DirectoryTask::applyRecords(DirectoryTopic topic, const std::vector<DirectoryRecord>& records)
 {
     for (const auto& record : records)
         apply(topic, record);
+    if (topic == DirectoryTopic::Endpoints)
+        endpointsChanged();
+}
+
+void DirectoryTask::endpointsChanged()
+{
+    if (m_state.versionRollouts)
+        m_state.versionRollouts->setEndpoints(m_state.registry, MonotonicClock::now());
+}
+
+bool DirectoryTask::follows(DirectoryTopic topic) const
+{
+    return topic != DirectoryTopic::Status || m_state.versionRollouts;
 }
 
 bool DirectoryTask::isStale(DirectoryTopic topic, MonotonicTime now) const
@@ -156,7 +173,14 @@
 
 bool DirectoryTask::isComplete() const
 {
-    return m_state.routes && !m_state.registry.entries().empty();
+    return m_state.routes && !m_state.registry.entries().empty() && isStatusSettled(MonotonicClock::now());
+}
+
+bool DirectoryTask::isStatusSettled(MonotonicTime now) const
+{
+    if (!m_state.versionRollouts || m_watchers[static_cast<std::size_t>(DirectoryTopic::Status)]->poll.hasListing())
+        return true;
+    return now > m_startedAt + m_state.settings.configBound;
 }
 
 void DirectoryTask::apply(DirectoryTopic topic, const DirectoryRecord& record)
@@ -170,8 +194,10 @@
     auto item = m_directory.decode(topic, record);
     if (!item) {
         logEvent(LogEvent::RecordUnreadable, { { "topic", topicName(topic) }, { "key", record.key }, { "offset", record.offset.value() }, { "reason", item.error().detail } });
-        // An unreadable record does not identify a usable endpoint or daemon, so the previous entry is removed.
-        removeRecord(topic, record.key);
+        // An unreadable record does not identify a usable endpoint or daemon, so the previous entry is removed. An
+        // operator's unreadable record is ignored; in particular it does not abort a rollout.
+        if (topic == DirectoryTopic::Endpoints || topic == DirectoryTopic::Daemons)
+            removeRecord(topic, record.key);
         return;
     }
     std::visit([this](auto& value) { put(std::move(value)); }, *item);
@@ -188,6 +214,8 @@
         }
         return;
     }
+    if (topic == DirectoryTopic::Operators)
+        removeRolloutOrder(key);
     if (topic == DirectoryTopic::Daemons)
         m_state.peers.remove(HostId(key));
 }
@@ -235,6 +263,33 @@
     m_state.peers.add(entry.host, entry.peers, entry.incarnation, MonotonicClock::now());
 }
 
+void DirectoryTask::put(const RolloutOrder& order)
+{
+    if (!m_state.versionRollouts) {
+        logEvent(LogEvent::RolloutOrdered, { { "service", order.service.value() }, { "version", order.version }, { "order", order.offset.value() }, { "outcome", "ignored" }, { "reason", "version rollouts are off" } });
+        return;
+    }
+    // A starting daemon does not know when the orders it finds in the listing were given.
+    const bool isNew = watcher(DirectoryTopic::Operators).poll.hasListing();
+    m_state.versionRollouts->setOrder(order, isNew ? std::optional(milliseconds(0)) : std::nullopt, MonotonicClock::now());
+}
+
+void DirectoryTask::put(const RolloutStatus& status)
+{
+    if (m_state.versionRollouts)
+        m_state.versionRollouts->setStatus(status, MonotonicClock::now());
+}
+
+void DirectoryTask::removeRolloutOrder(const std::string& key)
+{
+    const auto service = m_directory.findRolloutService(key);
+    if (!service)
+        return;
+    logEvent(LogEvent::RolloutOrdered, { { "service", service->value() }, { "outcome", m_state.versionRollouts ? "aborted" : "ignored" } });
+    if (m_state.versionRollouts)
+        m_state.versionRollouts->removeOrder(*service, MonotonicClock::now());
+}
+
 void DirectoryTask::registerDaemon()
 {
     m_directory.registerDaemon(m_self, false, [this](const Result<LogOffset, DirectoryError>& result) {
@@ -360,6 +415,7 @@
         forgetEndpoint(id);
         logEvent(LogEvent::EndpointsChanged, { { "endpoint", id.value() }, { "state", "gone" } });
     }
+    endpointsChanged();
     m_state.advisories.setFleet(m_state.peers.running(now), now);
     m_state.rates.setFleet(m_state.peers.heardCount(now) + 1, m_state.peers.runningCount(now) + 1, now);
     m_expiryTimer.set(now + kExpiryInterval);
--- a/src/hornbeamgate/runtime/gateway/directory_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.hpp
@@ -30,11 +30,14 @@
     void onPeerReport(const PeerReport& report, MonotonicTime now);
     LeadershipReport leadershipReport(MonotonicTime now) const;
 
-    /// Applies records fetched from another daemon.
-    void applyPeerRecords(DirectoryTopic topic, const std::vector<DirectoryRecord>& records);
+    /// Applies records of the store, which may come from another daemon.
+    void applyRecords(DirectoryTopic topic, const std::vector<DirectoryRecord>& records);
     /// Returns true if the store has not responded for `topic` recently, so that other daemons may have newer records.
     bool isStale(DirectoryTopic topic, MonotonicTime now) const;
     const DirectoryReplica& replica() const { return m_replica; }
+    /// Returns whether this daemon reads the topic.
+    bool follows(DirectoryTopic topic) const;
+    /// Returns whether this daemon knows enough to serve requests.
     bool isComplete() const;
 
 private:
@@ -57,6 +60,13 @@
     void put(const WeightsTarget& target);
     void put(EndpointEntry entry);
     void put(const DaemonEntry& entry);
+    void put(const RolloutOrder& order);
+    void put(const RolloutStatus& status);
+    void removeRolloutOrder(const std::string& key);
+    void endpointsChanged();
+    /// Returns whether the states of version rollouts are known, or the store has been silent about them for so long that
+    /// the daemon has to do without.
+    bool isStatusSettled(MonotonicTime now) const;
     void registerDaemon();
     /// Tries to become leader immediately if this host was the leader before the daemon started.
     void resumeLeadership();
--- a/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
@@ -42,6 +42,7 @@
     , m_self { settings.common.host, newIncarnation(), settings.common.link }
     , m_directory(m_state, *m_adapters.directory, m_self)
     , m_quarantine(m_state, *m_adapters.directory, m_self.host)
+    , m_versionRollouts(m_state, *m_adapters.directory, m_directory)
     , m_drainTimer([this] { closeWhenDrained(); })
     , m_settingsTimer([this] { watchSettings(); })
 {
@@ -87,6 +88,7 @@
 {
     m_directory.start();
     m_quarantine.start();
+    m_versionRollouts.start();
     m_peers->start();
     m_weights->start();
     watchSettings();
@@ -169,10 +171,12 @@
         logEvent(LogEvent::SettingsReloaded, { { "outcome", "kept" }, { "reason", fault.path + ' ' + fault.detail } });
         return;
     }
-    // The listening addresses stay as bound; the other settings are replaced.
+    // The listening addresses stay as bound, and version rollouts as they are, since their state depends on the limits; the
+    // other settings are replaced.
     settings->common = m_settings.common;
     settings->callers = m_settings.callers;
     settings->readiness = m_settings.readiness;
+    settings->versionRollouts = m_settings.versionRollouts;
     m_settings = std::move(*settings);
     m_settingsText = *text;
     m_state.retryBudgets.clear();
--- a/src/hornbeamgate/runtime/gateway/gateway_daemon.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_daemon.hpp
@@ -5,6 +5,7 @@
 #include "hornbeamgate/runtime/gateway/gateway_request.hpp"
 #include "hornbeamgate/runtime/gateway/peer_task.hpp"
 #include "hornbeamgate/runtime/gateway/quarantine_task.hpp"
+#include "hornbeamgate/runtime/gateway/version_rollout_task.hpp"
 #include "hornbeamgate/runtime/gateway/weights_task.hpp"
 #include "hornbeamgate/runtime/main_loop.hpp"
 #include "hornbeamgate/runtime/net/http_acceptor.hpp"
@@ -49,6 +50,7 @@
     MainLoop m_loop;
     DirectoryTask m_directory;
     QuarantineTask m_quarantine;
+    VersionRolloutTask m_versionRollouts;
     std::unique_ptr<PeerTask> m_peers;
     std::unique_ptr<WeightsTask> m_weights;
     std::unique_ptr<HttpAcceptor> m_callers;
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -150,6 +150,8 @@
     placementRequest.tried = m_triedEndpoints;
     placementRequest.timeLeft = m_deadline - now;
     placementRequest.cacheDomain = cacheDomain();
+    if (m_state.versionRollouts)
+        placementRequest.versions = m_state.versionRollouts->choose(m_service, now);
     if (m_metadata.model) {
         const auto& targets = m_state.weightsRollout.targets();
         const auto target = targets.find(*m_metadata.model);
@@ -196,7 +198,7 @@
     const auto now = MonotonicClock::now();
     if (refuseQuarantined(now))
         return true;
-    const auto placement = m_state.placer.choose(makePlacementRequest(now), { m_state.registry, m_state.loads, m_state.advisories, m_state.blocks }, now);
+    const auto placement = place(now);
     const auto* endpoint = placement.endpoint ? m_state.registry.find(*placement.endpoint) : nullptr;
     // An interrupted stream is resumed without waiting for capacity, since its caller is waiting for the next event.
     if (endpoint && !placement.hasRoom && !m_hasBegunResponse)
@@ -218,6 +220,19 @@
     return true;
 }
 
+Placement GatewayRequest::place(MonotonicTime now) const
+{
+    const EndpointView view { m_state.registry, m_state.loads, m_state.advisories, m_state.blocks };
+    auto placementRequest = makePlacementRequest(now);
+    auto placement = m_state.placer.choose(placementRequest, view, now);
+    const auto& versions = placementRequest.versions;
+    if (!versions || !versions->hasFallback() || (placement.endpoint && placement.hasRoom))
+        return placement;
+    // A request that should show how a new version does neither waits for its engines nor is refused for them.
+    placementRequest.versions = versions->fallback();
+    return m_state.placer.choose(placementRequest, view, now);
+}
+
 void GatewayRequest::awaitAdmission(const Placement& placement)
 {
     if (!m_admissionWait)
@@ -329,6 +344,12 @@
         m_state.blocks.recordUse(endpoint.id, *placement.blocks, now);
     m_state.loads.sent(endpoint.id, m_sendNumber, placement.prefillTokens, now);
     m_state.advisories.recordSend(instanceOf(endpoint), now);
+    m_firstEventAt.reset();
+    if (m_state.versionRollouts) {
+        m_judgedEndpoint = endpoint;
+        m_isResponseJudged = false;
+        m_state.versionRollouts->recordSend(endpoint, now);
+    }
     const auto metadata = forwardMetadata(endpoint, placement, now);
     m_requiredWeights = metadata.requiredWeights;
     if (placement.blocks)
@@ -502,6 +523,7 @@
 void GatewayRequest::recordAnswer(MonotonicTime now)
 {
     m_hasFirstEvent = true;
+    m_firstEventAt = now;
     logQuarantineChanges(m_state.quarantine.runAnswered(m_sharedParts, now));
     m_state.quarantine.engineAnswered(m_engine, m_sentAt, now);
 }
@@ -549,6 +571,7 @@
         forwardResponse();
         return;
     }
+    recordVersionResponse(status >= kServerErrors);
     endSend(SendOutcome::Failed);
     m_mayHaveExecuted = true;
     if (m_route->isRetryable() && tryAcquireRetry()) {
@@ -656,6 +679,8 @@
         return;
     logEvent(LogEvent::RunFailed, { { "request", m_metadata.requestId }, { "endpoint", m_endpoint.value() }, { "reason", "overdue" } });
     m_mayHaveExecuted = true;
+    // The time so far is judged in place of the latency, which is at least as long.
+    recordVersionResponse(false);
     endSend(SendOutcome::Failed);
     m_state.metrics.add(Counter::RunsRetried);
     resend("overdue");
@@ -665,6 +690,7 @@
 {
     if (m_isSending) {
         m_mayHaveExecuted = true;
+        recordVersionResponse(false);
         endSend(SendOutcome::Failed);
     }
     if (m_mayHaveExecuted)
@@ -700,6 +726,26 @@
     m_exchange.reset();
     m_overdueTimer.clear();
     m_state.loads.finished(m_endpoint, m_sendNumber, outcome, MonotonicClock::now());
+    recordForRollout(outcome);
+}
+
+void GatewayRequest::recordForRollout(SendOutcome outcome)
+{
+    if (!m_judgedEndpoint)
+        return;
+    if (outcome == SendOutcome::Served || outcome == SendOutcome::Failed)
+        recordVersionResponse(outcome == SendOutcome::Failed);
+    m_state.versionRollouts->recordEnd(*m_judgedEndpoint);
+    m_judgedEndpoint.reset();
+}
+
+void GatewayRequest::recordVersionResponse(bool isFailure)
+{
+    if (!m_judgedEndpoint || std::exchange(m_isResponseJudged, true))
+        return;
+    const auto now = MonotonicClock::now();
+    const auto latency = m_route->isStreaming ? m_firstEventAt.value_or(now) - m_sentAt : now - m_sentAt;
+    m_state.versionRollouts->recordResponse(*m_judgedEndpoint, m_route->name, isFailure, latency, now);
 }
 
 void GatewayRequest::refuse(const Refusal& refusal)
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -43,6 +43,7 @@
     void resend(std::string_view cause);
     /// Sends the request to an endpoint that has capacity. Returns false if the request has to wait.
     bool trySend();
+    Placement place(MonotonicTime now) const;
     /// Estimates how long the request has to wait until an endpoint admits it that takes only so many requests.
     void awaitAdmission(const Placement& placement);
     /// Returns whether the request would take a limited endpoint's admission from requests that already wait for one.
@@ -60,6 +61,10 @@
     /// Returns the block store in the endpoint's region, or null. Fetching blocks from a store in another region is not
     /// faster than computing them.
     const BlockStore* findRegionalBlockStore(const EndpointEntry& endpoint) const;
+    /// Records the end of the current send, and its response if there was one, for the judgement of the endpoint's version.
+    void recordForRollout(SendOutcome outcome);
+    /// Records the response of the current send for the judgement of the endpoint's version, unless it was recorded before.
+    void recordVersionResponse(bool isFailure);
     PlacementRequest makePlacementRequest(MonotonicTime now) const;
 
     void onHead(HttpResponseHead head);
@@ -124,6 +129,9 @@
     std::uint64_t m_sendNumber = 0;
     MonotonicTime m_sentAt {};
     bool m_isSending = false;
+    std::optional<EndpointEntry> m_judgedEndpoint; ///< of the current send; set only if version rollouts are on
+    bool m_isResponseJudged = false; ///< the response of the current send was recorded
+    std::optional<MonotonicTime> m_firstEventAt; ///< of the current send's response
     bool m_hasFirstEvent = false; ///< the endpoint has answered the current send with an event or a complete response
     std::optional<Duration> m_timeToFirstPiece; ///< measured from the arrival of the request
     std::optional<WeightsVersion> m_requiredWeights;
--- a/src/hornbeamgate/runtime/gateway/gateway_state.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_state.hpp
@@ -9,6 +9,7 @@
 #include "hornbeamgate/gateway/prompt_quarantine.hpp"
 #include "hornbeamgate/gateway/route_table.hpp"
 #include "hornbeamgate/gateway/service_retry_budget.hpp"
+#include "hornbeamgate/gateway/version_rollout.hpp"
 #include "hornbeamgate/gateway/weights_rollout.hpp"
 #include "hornbeamgate/gateway/workspace_rate_limiter.hpp"
 #include "hornbeamgate/observability/metrics.hpp"
@@ -18,6 +19,7 @@
 #include "hornbeamgate/settings/gateway_settings.hpp"
 
 #include <memory>
+#include <optional>
 
 namespace hornbeamgate::gateway {
 
@@ -34,6 +36,8 @@
         , placer(DaemonLocation { configured.common.dataCenter, configured.common.region, configured.regions })
         , weightsRollout(configured.common.host, configured.leaderLease, configured.weightsBound)
     {
+        if (configured.versionRollouts)
+            versionRollouts.emplace(*configured.versionRollouts, configured.common.host);
     }
 
     /// Returns the retry allowance of a service.
@@ -66,6 +70,7 @@
     WorkspaceRateLimiter rates;
     PeerTable peers;
     WeightsRollout weightsRollout;
+    std::optional<VersionRollouts> versionRollouts; ///< none if version rollouts are off
     std::map<ServiceId, ServiceRetryBudget> retryBudgets;
     HttpConnectionPool endpointConnections;
     Metrics metrics;
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -108,6 +108,8 @@
     report.blockUses = m_state.blocks.recentLocalUses(observedSince, now);
     report.quarantine = m_state.quarantine.report(observedSince, now);
     report.advisories = m_state.advisories.report(observedSince, now);
+    if (m_state.versionRollouts)
+        report.rollouts = m_state.versionRollouts->report(now);
     report.pendingPrefillTokens = m_state.loads.localPendingPrefillTokens();
     return report;
 }
@@ -166,6 +168,8 @@
     m_state.blocks.recordPeerUses(report->blockUses, now);
     m_state.loads.setPeerPendingPrefillTokens(report->host, report->pendingPrefillTokens, now);
     applyLeaving(*report, now);
+    if (m_state.versionRollouts)
+        m_state.versionRollouts->recordPeerReport(report->host, report->incarnation, report->rollouts, now);
     // The ages in a report that was received late are too low.
     if (!m_standstills.mayReadBacklog(now)) {
         logQuarantineChanges(m_state.quarantine.recordPeerReport(report->quarantine, now));
@@ -210,6 +214,8 @@
     const auto now = MonotonicClock::now();
     for (std::size_t i = 0; i < kDirectoryTopics; ++i) {
         const auto topic = static_cast<DirectoryTopic>(i);
+        if (!m_directory.follows(topic))
+            continue;
         const bool isBehind = m_lags[i].isBehind(m_directory.replica().end(topic), report.directoryEnds[i], now);
         if (isBehind && m_directory.isStale(topic, now) && !m_isFetching[i])
             fetch(topic, report.address);
@@ -234,7 +240,7 @@
             return;
         }
         logEvent(LogEvent::RecordsFetched, { { "topic", topicName(topic) }, { "peer", peer.text() }, { "records", records->size() }, { "reason", "" } });
-        m_directory.applyPeerRecords(topic, *records);
+        m_directory.applyRecords(topic, *records);
     });
 }
 
--- a/src/hornbeamgate/settings/gateway_settings.cpp
+++ b/src/hornbeamgate/settings/gateway_settings.cpp
@@ -17,6 +17,22 @@
     constexpr std::chrono::milliseconds kDefaultWeightsBound { 10'000 };
     constexpr std::chrono::milliseconds kDefaultLeaderLease { 3'000 };
     constexpr std::chrono::milliseconds kDefaultMinMembershipLifetime { 1'000 };
+    constexpr double kDefaultExposureShare = 0.1;
+    constexpr std::int64_t kDefaultExposureSlack = 50;
+    constexpr std::chrono::milliseconds kDefaultRollbackBound { 5'000 };
+    constexpr const char* kVersionRollouts = "version_rollouts";
+
+    std::optional<gateway::VersionRolloutLimits> readVersionRollouts(SettingsReader& reader)
+    {
+        const bool isEnabled = reader.has(kVersionRollouts);
+        gateway::VersionRolloutLimits settings;
+        reader.enter(kVersionRollouts);
+        settings.exposureShare = reader.fraction("exposure_share", kDefaultExposureShare);
+        settings.exposureSlack = reader.number("exposure_slack", kCountRange, kDefaultExposureSlack);
+        settings.rollbackBound = reader.milliseconds("rollback_bound_ms", kTimeoutRange, kDefaultRollbackBound);
+        reader.leave();
+        return isEnabled ? std::optional(settings) : std::nullopt;
+    }
 
     GatewaySettings readGateway(SettingsReader& reader)
     {
@@ -44,6 +60,7 @@
         settings.minMembershipLifetime = reader.milliseconds("least_membership_ms", kTimeoutRange, kDefaultMinMembershipLifetime);
         for (auto& contract : reader.texts("contracts"))
             settings.contracts.insert(std::move(contract));
+        settings.versionRollouts = readVersionRollouts(reader);
         settings.leaderLease = reader.milliseconds("duty_lease_ms", kTimeoutRange, kDefaultLeaderLease);
         return settings;
     }
--- a/src/hornbeamgate/settings/gateway_settings.hpp
+++ b/src/hornbeamgate/settings/gateway_settings.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "hornbeamgate/gateway/service_retry_budget.hpp"
+#include "hornbeamgate/gateway/version_rollout.hpp"
 #include "hornbeamgate/settings/common_settings.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -21,6 +23,7 @@
     Duration leavingBound {}; ///< maximum time from the report that an endpoint leaves until it gets no more requests
     Duration rateWindow {}; ///< window in which the rates of the workspaces hold over all daemons
     Duration weightsBound {}; ///< maximum time from a change of a model's weights until no new request starts on older ones
+    std::optional<gateway::VersionRolloutLimits> versionRollouts; ///< versions of services are ignored without it
     Duration minMembershipLifetime {}; ///< shortest lifetime of a group membership that the store accepts
     std::set<std::string> contracts; ///< contracts in force; a contract may enable a feature
     Duration leaderLease {}; ///< minimum time between orders from two different daemons to the same engine
--- a/tests/platform/directory_task.test.cpp
+++ b/tests/platform/directory_task.test.cpp
@@ -59,9 +59,9 @@
     fixture.directory.answer(DirectoryTopic::Operators, DirectoryPage { { config(3, 10) }, LogOffset(11) });
     REQUIRE(fixture.state.routes);
     CHECK(fixture.state.routes->config().version == ConfigVersion(3));
-    fixture.task.applyPeerRecords(DirectoryTopic::Operators, { config(2, 4) });
+    fixture.task.applyRecords(DirectoryTopic::Operators, { config(2, 4) });
     CHECK(fixture.state.routes->config().version == ConfigVersion(3));
-    fixture.task.applyPeerRecords(DirectoryTopic::Operators, { config(5, 20) });
+    fixture.task.applyRecords(DirectoryTopic::Operators, { config(5, 20) });
     CHECK(fixture.state.routes->config().version == ConfigVersion(5));
     REQUIRE(runUntil([&] { return fixture.directory.hasPendingCall(DirectoryTopic::Operators); }));
     CHECK(fixture.directory.watchedFrom[0] == LogOffset(11));
@@ -76,7 +76,7 @@
     CHECK(fixture.state.registry.find(EndpointId("good")));
     CHECK_FALSE(fixture.state.registry.find(EndpointId("bad")));
     // An endpoint is removed when its record becomes unreadable.
-    fixture.task.applyPeerRecords(DirectoryTopic::Endpoints, { { "good", "[]", LogOffset(5) } });
+    fixture.task.applyRecords(DirectoryTopic::Endpoints, { { "good", "[]", LogOffset(5) } });
     CHECK_FALSE(fixture.state.registry.find(EndpointId("good")));
 }
 
@@ -332,6 +332,6 @@
     const DirectoryRecord named { "version/m", R"({"model":"m","version":4})", LogOffset(3) };
     fixture.directory.answer(DirectoryTopic::Operators, DirectoryPage { { named }, LogOffset(4) });
     CHECK(fixture.state.weightsRollout.oldestAllowed(ModelId("m"), MonotonicClock::now()) == WeightsVersion(4));
-    fixture.task.applyPeerRecords(DirectoryTopic::Operators, { { "version/m", R"({"model":"m","version":5})", LogOffset(9) } });
+    fixture.task.applyRecords(DirectoryTopic::Operators, { { "version/m", R"({"model":"m","version":5})", LogOffset(9) } });
     CHECK(fixture.state.weightsRollout.oldestAllowed(ModelId("m"), MonotonicClock::now()) == WeightsVersion(4));
 }
--- a/tests/platform/fake_directory.hpp
+++ b/tests/platform/fake_directory.hpp
@@ -45,6 +45,13 @@
         savedObservations.push_back({ host, observations });
         observationSaves.push_back(std::move(callback));
     }
+    void readStatusEnd(Callback<DirectoryPage> callback) override { statusReads.push_back(std::move(callback)); }
+    void appendStatus(const RolloutStatus& status, LogOffset at, Callback<LogOffset> callback) override
+    {
+        appendedStatuses.push_back({ status, at });
+        statusAppends.push_back(std::move(callback));
+    }
+    std::optional<ServiceId> findRolloutService(const std::string& key) const override { return platform::serviceOfRolloutKey(key); }
     Result<DirectoryItem, RecordError> decode(DirectoryTopic topic, const DirectoryRecord& record) const override { return platform::decodeRecord(topic, record); }
 
     static std::size_t index(DirectoryTopic topic) { return static_cast<std::size_t>(topic); }
@@ -72,6 +79,9 @@
     std::vector<Callback<std::vector<StoredObservations>>> observationReads;
     std::vector<StoredObservations> savedObservations;
     std::vector<Callback<LogOffset>> observationSaves;
+    std::vector<Callback<DirectoryPage>> statusReads;
+    std::vector<std::pair<RolloutStatus, LogOffset>> appendedStatuses; ///< each with the end it was conditional on
+    std::vector<Callback<LogOffset>> statusAppends;
     std::chrono::milliseconds membershipLifetime {};
     int leaveCount = 0;
 };
--- a/tests/platform/settings_template.test.cpp
+++ b/tests/platform/settings_template.test.cpp
@@ -11,8 +11,21 @@
 
 namespace {
 
+/// Renders a section of the template once, or leaves it out.
+void renderSection(std::string& text, const std::string& name, bool isPresent)
+{
+    const auto begin = "{{#" + name + "}}";
+    const auto end = "{{/" + name + "}}";
+    const auto from = text.find(begin);
+    const auto to = text.find(end);
+    REQUIRE(from != std::string::npos);
+    REQUIRE(to != std::string::npos);
+    const auto body = isPresent ? text.substr(from + begin.size(), to - from - begin.size()) : std::string();
+    text.replace(from, to + end.size() - from, body);
+}
+
 /// Renders the settings template with one value for each placeholder, as the platform does.
-std::string renderTemplate()
+std::string renderTemplate(bool hasExposeShare = false)
 {
     const std::map<std::string, std::string> values {
         { "{{node-name|json}}", "\"front-1\"" },
@@ -36,12 +49,16 @@
         { "{{bounds.version-ms}}", "10000" },
         { "{{bounds.lease-duration-ms}}", "3000" },
         { "{{platform.min-ttl-ms|json}}", "1000" },
+        { "{{bounds.expose-share|json}}", "0.2" },
+        { "{{bounds.expose-slack|json}}", "60" },
+        { "{{bounds.rollback-timeout-ms|json}}", "4000" },
     };
     std::ifstream file(HORNBEAMGATE_SETTINGS_TEMPLATE);
     REQUIRE(file);
     std::ostringstream content;
     content << file.rdbuf();
     auto text = content.str();
+    renderSection(text, "bounds.expose-share", hasExposeShare);
     for (const auto& [placeholder, value] : values) {
         for (auto at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder))
             text.replace(at, placeholder.size(), value);
@@ -74,6 +91,22 @@
     CHECK(settings->common.drainTimeout >= 5s);
     CHECK(settings->weightsBound == 10s);
     CHECK(settings->contracts == std::set<std::string> { "base", "pressure" });
+    // A deployment that names no bounds for rollouts must not get the feature.
+    CHECK_FALSE(settings->versionRollouts);
+}
+
+TEST_CASE("the deployment template turns on version rollouts where the platform names a share [platform]")
+{
+    const auto text = renderTemplate(true);
+    CAPTURE(text);
+    CHECK(text.find("{{") == std::string::npos);
+    const auto settings = parseGatewaySettings(text);
+    REQUIRE(settings);
+    // Defaults in place of the platform's bounds would break its rules unnoticed.
+    REQUIRE(settings->versionRollouts);
+    CHECK(settings->versionRollouts->exposureShare == doctest::Approx(0.2));
+    CHECK(settings->versionRollouts->exposureSlack == 60);
+    CHECK(settings->versionRollouts->rollbackBound == 4s);
 }
 
 TEST_CASE("errors in gateway settings name the field and the allowed values [settings]")
