--- a/tests/gateway/peer_report.test.cpp
+++ b/tests/gateway/peer_report.test.cpp
@@ -1,6 +1,7 @@
 #include "hornbeamgate/gateway/peer_report.hpp"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 using namespace hornbeamgate;
 using namespace hornbeamgate::gateway;
@@ -12,7 +13,7 @@
     report.host = HostId("front-1");
     report.incarnation = Incarnation(77);
     report.address = { "10.0.0.1", 7600 };
-    report.directoryEnds = { LogOffset(3), LogOffset(40), LogOffset(5) };
+    report.directoryEnds = { LogOffset(3), LogOffset(40), LogOffset(5), LogOffset(7) };
     report.drawn[WorkspaceId("w")] = 12345;
     report.loading.push_back({ EndpointId("e"), 900ms });
     report.loaded.push_back({ EndpointId("f"), ModelId("m"), WeightsVersion(4) });
@@ -31,8 +32,10 @@
     report.advisories.limits.push_back({ EndpointId("f"), Incarnation(8), std::nullopt, 50ms });
     report.advisories.demand[ServiceId("s")] = 77;
     report.advisories.leaving.push_back({ EndpointId("g"), Incarnation(3) });
+    report.rollouts.services.push_back({ ServiceId("s"), LogOffset(8), 1500ms, true, true, 4, { { EndpointId("e"), { { "read", { 20, 3 } }, { "write", { 5, 0 } } } } }, { { "read", { { 200, 2 }, 1800us } } } });
     const auto decoded = decodePeerReport(encodePeerReport(report));
     REQUIRE(decoded);
+    CHECK(decoded->rollouts == report.rollouts);
     REQUIRE(decoded->advisories.limits.size() == 2);
     CHECK(decoded->advisories.limits[0].endpoint == EndpointId("e"));
     CHECK(decoded->advisories.limits[0].incarnation == Incarnation(9));
@@ -83,6 +86,39 @@
     CHECK(decoded->quarantine.quarantined[0].renewals == 2);
 }
 
+TEST_CASE("daemons with and without version rollouts can decode each other's reports [peers]")
+{
+    // Daemons are replaced one after the other; a report that is rejected would count as a silent daemon.
+    constexpr std::size_t kOlderTopics = 3;
+    PeerReport report;
+    report.host = HostId("front-1");
+    report.directoryEnds = { LogOffset(3), LogOffset(40), LogOffset(5), LogOffset(7) };
+    auto fields = *fromCbor(encodePeerReport(report));
+    CHECK(fields.back() == nlohmann::json::array());
+    REQUIRE(fields.at(2).size() > kOlderTopics);
+    CHECK(fields.at(2).at(2) == 5);
+    fields.erase(fields.size() - 1);
+    fields.at(2).erase(kOlderTopics);
+    const auto decoded = decodePeerReport(toCbor(fields));
+    REQUIRE(decoded);
+    CHECK(decoded->directoryEnds == std::array { LogOffset(3), LogOffset(40), LogOffset(5), LogOffset(0) });
+    CHECK(decoded->rollouts.services.empty());
+}
+
+TEST_CASE("counts of a rollout that cannot be right are rejected or limited [peers]")
+{
+    PeerReport report;
+    report.rollouts.services.push_back({ ServiceId("s"), LogOffset(8), 1500ms, false, false, 0, { { EndpointId("e"), { { "read", { 20, 30 } } } } }, {} });
+    const auto decoded = decodePeerReport(encodePeerReport(report));
+    REQUIRE(decoded);
+    // More bad responses than responses would make the judgement meaningless.
+    CHECK(decoded->rollouts.services.front().candidate.at(EndpointId("e")).at("read") == RouteSample { 20, 20 });
+    auto fields = *fromCbor(encodePeerReport(report));
+    constexpr std::size_t kRouteNames = 6;
+    fields.back().at(0).at(kRouteNames) = nlohmann::json::array();
+    CHECK_FALSE(decodePeerReport(toCbor(fields)));
+}
+
 TEST_CASE("withdrawn records and binary values are unchanged after encoding and decoding [peers]")
 {
     const std::vector<DirectoryRecord> records { { "a", std::string("\x00\xff", 2), LogOffset(1) }, { "b", std::nullopt, LogOffset(2) } };
--- a/tests/platform/directory.test.cpp
+++ b/tests/platform/directory.test.cpp
@@ -143,6 +143,26 @@
     CHECK(store.requestLines[2] == "GET /hornbeamgate/log-newest?topic=keyed.orders&part=0");
 }
 
+TEST_CASE("a rollout's state is appended only at the offset that was read [platform]")
+{
+    ScriptedStore store;
+    store.answers = { { 200, {}, R"({"items":[{"key":"rollout/s","value":"e30=","offset":4}],"has-more":false,"end-offset":6})" }, { 200, {}, R"({"offset":6,"end-offset":7})" }, { 412, {}, R"({"end-offset":9})" } };
+    platform::PlatformDirectory directory(store.acceptor->address());
+    const auto page = result<DirectoryPage>([&](auto callback) { directory.readStatusEnd(callback); });
+    REQUIRE(page);
+    CHECK(page->next == LogOffset(6));
+    CHECK(page->records.at(0).key == "rollout/s");
+    CHECK(store.requestLines[0] == "GET /hornbeamgate/log-newest?topic=keyed.status&part=0");
+    const RolloutStatus status { ServiceId("s"), "v2", RolloutState::Running, RolloutPhase::Observe, LogOffset(3) };
+    const auto end = result<LogOffset>([&](auto callback) { directory.appendStatus(status, page->next, callback); });
+    REQUIRE(end);
+    CHECK(*end == LogOffset(7));
+    CHECK(store.requestLines[1] == "POST /hornbeamgate/log-append?topic=keyed.status&part=0&at=6");
+    CHECK(store.bodies[1] == keyedRecord("rollout/s", R"({"order":3,"phase":"observe","state":"running","to":"v2"})"));
+    // A writer that takes a refused append for a success would leave the rollout without a state.
+    CHECK_FALSE(result<LogOffset>([&](auto callback) { directory.appendStatus(status, page->next, callback); }));
+}
+
 TEST_CASE("the owner of partition 0 is the rollout leader [platform]")
 {
     ScriptedStore store;
--- a/tests/platform/gateway_fleet.hpp
+++ b/tests/platform/gateway_fleet.hpp
@@ -2,6 +2,7 @@
 
 #include "hornbeamgate/runtime/gateway/gateway_request.hpp"
 #include "hornbeamgate/runtime/gateway/peer_task.hpp"
+#include "hornbeamgate/runtime/gateway/version_rollout_task.hpp"
 #include "hornbeamgate/runtime/net/http_call.hpp"
 
 #include "platform/fake_directory.hpp"
@@ -17,7 +18,7 @@
 
 using namespace std::chrono_literals;
 
-/// Engine that answers at once, says of itself what the test sets, and records when requests arrive.
+/// Engine that answers at once or after a delay, says of itself what the test sets, and records when requests arrive.
 struct EngineStandIn {
     EngineStandIn()
     {
@@ -36,6 +37,13 @@
         void start() override
         {
             engine.arrivals.push_back(MonotonicClock::now());
+            if (engine.delay == 0ms)
+                answer();
+            else
+                timer.set(MonotonicClock::now() + engine.delay);
+        }
+        void answer()
+        {
             HttpFields fields;
             if (engine.status == 503)
                 fields.add("X-Hornbeamgate-Not-Executed", "1");
@@ -55,6 +63,7 @@
         EngineStandIn& engine;
         HttpServerConnection& connection;
         HttpRequestMessage message;
+        Timer timer { [this] { answer(); } };
     };
 
     std::size_t mostInFourSeconds() const { return mostWithin(4s); }
@@ -77,6 +86,7 @@
     }
 
     int status = 200;
+    std::chrono::milliseconds delay {}; ///< from a request to its answer
     bool isSigned = true;
     std::string limit; ///< the value of the header; empty for none
     bool isLeaving = false;
@@ -104,8 +114,8 @@
 
 /// The parts of a gateway that handle requests and exchange reports with other gateways.
 struct FleetGateway {
-    explicit FleetGateway(const std::string& host)
-        : settings(makeSettings(host))
+    explicit FleetGateway(const std::string& host, const std::optional<VersionRolloutLimits>& rolloutLimits = {})
+        : settings(makeSettings(host, rolloutLimits))
     {
         auto created = HttpAcceptor::create({ "127.0.0.1", 0 }, { [this](HttpServerConnection& connection, HttpRequestMessage message) -> std::unique_ptr<HttpRequestHandler> {
                                                                      return std::make_unique<GatewayRequest>(state, connection, std::move(message));
@@ -119,13 +129,15 @@
         REQUIRE(peerTask);
         peers = std::move(*peerTask);
         peers->start();
+        rollouts.start();
     }
 
     DaemonEntry self() const { return { settings.common.host, Incarnation(5), { "127.0.0.1", 0 } }; }
 
-    static GatewaySettings makeSettings(const std::string& host)
+    static GatewaySettings makeSettings(const std::string& host, const std::optional<VersionRolloutLimits>& rolloutLimits)
     {
         GatewaySettings made;
+        made.versionRollouts = rolloutLimits;
         made.common.host = HostId(host);
         made.retries = { 1.0, 100, 10s };
         made.configBound = 3s;
@@ -141,16 +153,17 @@
     GatewayState state { settings, wire };
     FakeDirectory directory;
     DirectoryTask task { state, directory, self() };
+    VersionRolloutTask rollouts { state, directory, task };
     std::unique_ptr<HttpAcceptor> callers;
     std::unique_ptr<PeerTask> peers;
 };
 
 /// Gateways that know each other and the engines, with callers that ask each of them at a fixed rate.
 struct GatewayFleet {
-    explicit GatewayFleet(int size)
+    explicit GatewayFleet(int size, const std::optional<VersionRolloutLimits>& rolloutLimits = {})
     {
         for (int i = 0; i < size; ++i)
-            gateways.push_back(std::make_unique<FleetGateway>("front-" + std::to_string(i)));
+            gateways.push_back(std::make_unique<FleetGateway>("front-" + std::to_string(i), rolloutLimits));
         for (const auto& gateway : gateways) {
             for (const auto& peer : gateways) {
                 if (peer != gateway)
@@ -159,12 +172,13 @@
         }
     }
 
-    void addEngine(const std::string& id, const EngineStandIn& engine)
+    void addEngine(const std::string& id, const EngineStandIn& engine, const std::string& version = {})
     {
         for (const auto& gateway : gateways) {
             EndpointEntry entry;
             entry.id = EndpointId(id);
             entry.service = ServiceId("s");
+            entry.version = version;
             entry.address = engine.acceptor->address();
             entry.slots = 8;
             gateway->state.registry.put(entry);
--- a/tests/platform/record_decoder.test.cpp
+++ b/tests/platform/record_decoder.test.cpp
@@ -96,6 +96,43 @@
     CHECK_FALSE(decode(DirectoryTopic::Operators, "unknown", "{}"));
 }
 
+TEST_CASE("a rollout order is read with the offset that tells it from other orders [platform]")
+{
+    const auto item = platform::decodeRecord(DirectoryTopic::Operators, { "rollout/huvo11a", R"({"service":"huvo11a","to":"v2","duration-s":12.5})", LogOffset(77) });
+    REQUIRE(item);
+    CHECK(std::get<RolloutOrder>(*item) == RolloutOrder { ServiceId("huvo11a"), "v2", 12500ms, LogOffset(77) });
+}
+
+TEST_CASE("a rollout order without a service, a version or a positive duration is unreadable [platform]")
+{
+    // An order with a default in place of a missing field would move traffic that nobody asked to move.
+    for (const std::string value : { R"({"service":"s","to":"v2"})", R"({"service":"s","to":"v2","duration-s":0})", R"({"service":"s","to":"v2","duration-s":-3})",
+             R"({"service":"s","to":"v2","duration-s":"12"})", R"({"service":"s","to":"v2","duration-s":null})", R"({"service":"s","to":"","duration-s":12})",
+             R"({"service":"s","duration-s":12})", R"({"to":"v2","duration-s":12})", R"({"service":"other","to":"v2","duration-s":12})", "[]", "" }) {
+        CAPTURE(value);
+        CHECK_FALSE(decode(DirectoryTopic::Operators, "rollout/s", value));
+    }
+    const auto item = decode(DirectoryTopic::Operators, "rollout/s", R"({"service":"s","to":"v2","duration-s":1e300})");
+    REQUIRE(item);
+    CHECK(std::get<RolloutOrder>(*item).duration == std::chrono::hours(24 * 365));
+}
+
+TEST_CASE("states of rollouts round-trip through encoding and decoding [platform]")
+{
+    for (const auto state : { RolloutState::Running, RolloutState::Completed, RolloutState::RolledBack }) {
+        for (const auto phase : { RolloutPhase::Observe, RolloutPhase::Shift }) {
+            const RolloutStatus status { ServiceId("s"), "v2", state, phase, LogOffset(9) };
+            const auto item = decode(DirectoryTopic::Status, platform::rolloutKey(status.service), platform::encodeRolloutStatus(status));
+            REQUIRE(item);
+            CHECK(std::get<RolloutStatus>(*item) == status);
+        }
+    }
+    CHECK(platform::encodeRolloutStatus({ ServiceId("s"), "v2", RolloutState::RolledBack, RolloutPhase::Shift, LogOffset(9) }) == R"({"order":9,"phase":"shift","state":"rolled_back","to":"v2"})");
+    CHECK_FALSE(decode(DirectoryTopic::Status, "other/s", R"({"order":9,"phase":"shift","state":"running","to":"v2"})"));
+    CHECK_FALSE(decode(DirectoryTopic::Status, "rollout/s", R"({"order":9,"phase":"shift","state":"begun","to":"v2"})"));
+    CHECK_FALSE(decode(DirectoryTopic::Status, "rollout/s", R"({"phase":"shift","state":"running","to":"v2"})"));
+}
+
 TEST_CASE("daemon registrations round-trip through encoding and decoding [platform]")
 {
     const DaemonEntry entry { HostId("front-1"), Incarnation(5), { "10.0.0.1", 7600 } };
