Tell version rollouts when the state in the store was last read

Cause: a daemon that was frozen or cut off may hold a state that was replaced long ago, and would send requests to a version that was rolled back. statusConfirmed now takes the time at which the read was sent and is called for each read.

--- a/src/hornbeamgate/gateway/version_rollout.hpp
+++ b/src/hornbeamgate/gateway/version_rollout.hpp
@@ -135,8 +135,17 @@
 public:
     /// Reports older than this do not count for the verdict "good".
     static constexpr std::chrono::milliseconds kFreshness { 3000 };
-
-    void recordCandidate(const EndpointId& engine, const std::string& route, bool isFailure, Duration latency);
+    /// Counts of engines in one report, so that it fits into a datagram with the rest.
+    static constexpr std::size_t kMaxReportedSamples = 32;
+    /// Counts of engines that are kept for each peer; with 360 peers they take 30 MB.
+    static constexpr std::size_t kMaxSamplesOfPeer = 512;
+    /// Responses of the control group below which no median is known.
+    static constexpr std::uint64_t kMinLatencies = 8;
+    /// A response is bad if it takes this many times the control group's median.
+    static constexpr int kSlowFactor = 3;
+
+    /// Returns whether the response is bad.
+    bool recordCandidate(const EndpointId& engine, const std::string& route, bool isFailure, Duration latency);
     void recordControl(const std::string& route, bool isFailure, Duration latency);
     /// `sentAt` is the estimated time at which the peer sent the report.
     void recordPeer(const HostId& peer, Incarnation incarnation, const RolloutReport::Service& report, MonotonicTime sentAt);
@@ -145,12 +154,16 @@
         EngineSamples candidate;
         RouteSamples control;
     };
-    Sums sums() const;
-    /// Returns the sums over this daemon's counts and those of reports sent at or after `since`.
+    /// Returns the sums over all daemons.
+    const Sums& sums() const { return m_sums; }
+    /// Returns the sums without the counts of daemons whose last report was sent before `since`.
     Sums sumsSince(MonotonicTime since) const;
-    /// Returns whether `peers` peers reported since `since` that they have no more requests on old engines.
-    bool areOldEnginesIdle(std::size_t peers, MonotonicTime since) const;
-    void fill(RolloutReport::Service& report) const;
+    /// Returns how many peers have sent a report since `since`.
+    std::size_t peersSince(MonotonicTime since) const;
+    /// Returns how many peers have reported since `since` that no requests run or start on old engines.
+    std::size_t idlePeersSince(MonotonicTime since) const;
+    /// Adds this daemon's counts to a report. If there are too many, successive reports contain different ones.
+    void fill(RolloutReport::Service& report, MonotonicTime now) const;
 
 private:
     /// Latencies of a route in buckets whose width grows with the latency.
@@ -162,12 +175,14 @@
         std::chrono::microseconds median() const;
     };
     struct PeerCounts {
-        MonotonicTime sentAt {};
+        MonotonicTime sentAt {}; ///< of the newest report
         bool isShifted = false;
         std::uint64_t oldInProgress = 0;
+        std::size_t samples = 0;
         EngineSamples candidate;
         std::map<std::string, RolloutReport::ControlRoute> control;
     };
+    using Incarnations = std::map<Incarnation, PeerCounts>;
 
     /// Returns the median latency of the control group on a route, or 0 if it is unknown.
     std::chrono::microseconds medianLatency(const std::string& route) const;
@@ -175,8 +190,9 @@
 
     EngineSamples m_candidate;
     RouteSamples m_control;
+    Sums m_sums;
     std::map<std::string, LatencyHistogram> m_latencies; ///< of the control group, by route
-    std::map<HostId, std::map<Incarnation, PeerCounts>> m_peers;
+    std::map<HostId, Incarnations> m_peers;
 };
 
 /// Carries out one order to move a service to a version.
@@ -203,6 +219,17 @@
     static constexpr std::uint64_t kMinResponses = 30;
     /// Bad responses beyond those the control group explains after which the version gets no more requests.
     static constexpr double kMaxUnexplainedBad = 40;
+    /// Sends to old engines between two to the new version while it is observed, so that the slack is not used up at once.
+    static constexpr std::uint64_t kMinSendsBetween = 3;
+    /// Number of tests that start during the duration; a version that turns bad later is found by those that start then.
+    static constexpr int kTests = 16;
+    /// A service of which no engine is listed for this long does not exist.
+    static constexpr std::chrono::milliseconds kServiceWait { 2000 };
+    /// Other daemons leave the state "rolled back" to the leader for this long, and for up to as long again by chance.
+    static constexpr std::chrono::milliseconds kWriteDelay { 500 };
+    /// A state that was written is read back within this time unless it was lost.
+    static constexpr std::chrono::milliseconds kWriteInterval { 300 };
+    static constexpr std::chrono::milliseconds kJudgementInterval { 20 };
 
     VersionRollout(const VersionRolloutLimits& limits, const HostId& self, RolloutOrder order, bool isTrusted, MonotonicTime orderedAt);
 
@@ -212,6 +239,7 @@
     void setAge(std::chrono::milliseconds age, MonotonicTime now);
     void setStatus(const RolloutStatus& status, MonotonicTime now);
     void setFleet(std::size_t runningDaemons);
+    void statusConfirmed(MonotonicTime asOf) { m_statusConfirmedAsOf = std::max(m_statusConfirmedAsOf, asOf); }
     /// Sets the engines of the new version and whether the service has any engine.
     void setEngines(const std::set<EndpointId>& candidates, bool isServiceKnown);
     void abort(MonotonicTime now);
@@ -222,6 +250,10 @@
     bool isStopped() const { return m_isBad || m_isAborted || m_state == RolloutState::RolledBack; }
     /// Returns whether the version is in regular use already, so that it is not observed.
     bool isTrusted() const { return m_isTrusted; }
+    /// Returns whether this daemon would have heard of a verdict or state of other daemons.
+    bool isInContact(MonotonicTime now) const;
+    bool isShifting() const { return m_phase == RolloutPhase::Shift; }
+    RolloutPhase phase() const { return m_phase; }
     /// Returns whether old engines get no new requests.
     bool isShifted(MonotonicTime now) const;
     /// Returns whether the next request should go to the new version.
@@ -230,9 +262,10 @@
     const std::set<EndpointId>& engines() const { return m_phase == RolloutPhase::Shift ? m_candidates : m_canaries; }
 
     void recordSend(bool isCandidate, MonotonicTime now);
-    RolloutEvidence& evidence() { return m_evidence; }
-    const RolloutEvidence& evidence() const { return m_evidence; }
-    void recordVerdictOfPeer(MonotonicTime now);
+    /// Returns whether the response is bad.
+    bool recordResponse(const EndpointEntry& endpoint, const std::string& route, bool isFailure, Duration latency);
+    void recordPeer(const HostId& peer, Incarnation incarnation, const RolloutReport::Service& report, MonotonicTime now);
+    RolloutReport::Service report(std::uint64_t oldInProgress, MonotonicTime now) const;
     /// Judges the evidence if it is due. Returns the judgement if the verdict changed.
     std::optional<Judgement> judge(MonotonicTime now);
     bool isBad() const { return m_isBad; }
@@ -246,6 +279,13 @@
     bool isPast(double fraction, MonotonicTime now) const;
     double creditPerSend(MonotonicTime now) const;
     double shiftShare(MonotonicTime now) const;
+    std::int64_t slackPart() const;
+    bool favoursGood(MonotonicTime now) const;
+    Judgement judgeAll() const;
+    /// Returns the responses since `start`, with the whole control group if it has too few since.
+    RolloutEvidence::Sums since(const RolloutEvidence::Sums& start) const;
+    bool hasTooManyBad(const Judgement& total) const;
+    void chooseCanaries();
     std::optional<RolloutStatus> dueWrite(bool isLeader, std::uint64_t oldInProgress, MonotonicTime now) const;
     RolloutStatus status(RolloutState state, RolloutPhase phase) const { return { m_order.service, m_order.version, state, phase, m_order.offset }; }
     void stop(MonotonicTime now);
@@ -260,11 +300,13 @@
     RolloutPhase m_phase = RolloutPhase::Observe;
     bool m_isRecorded = false; ///< the store has a state of this order
     std::optional<MonotonicTime> m_shiftReadAt;
-    std::set<EndpointId> m_candidates;
-    std::set<EndpointId> m_canaries;
-    bool m_isServiceKnown = false;
+    std::set<EndpointId> m_candidates; ///< engines of the new version
+    std::set<EndpointId> m_canaries; ///< those that get requests while the version is observed
+    std::optional<bool> m_isServiceKnown; ///< none before the first listing
     bool m_isVersionSeen = false;
-    std::size_t m_fleet = 0; ///< highest number of daemons since the order; 0 if unknown
+    std::size_t m_fleet = 0; ///< number of daemons; 0 if unknown
+    std::size_t m_largestFleet = 0; ///< since the order
+    MonotonicTime m_statusConfirmedAsOf = MonotonicTime::min();
 
     double m_credit = 0; ///< sends to the new version that the share allows, without the slack
     std::uint64_t m_sends = 0; ///< of this daemon to the service
@@ -299,17 +341,21 @@
     void removeOrder(const ServiceId& service, MonotonicTime now);
     /// Handles a state as read from the store. A state of an order that is not known yet is kept for it.
     void setStatus(const RolloutStatus& status, MonotonicTime now);
-    /// The states in the store were read to their end. Before, a version under rollout gets requests only if there is no
-    /// other.
-    void statusConfirmed();
+    /// The states in the store are known up to `asOf`, the time at which a read that reached their end was sent. Called for
+    /// each such read, also if it returned no record. Before the first one, a version under rollout gets requests only if
+    /// there is no other. A daemon that hears neither from the store nor from most peers for half of the rollback bound sends
+    /// no requests to a version under rollout, because it may have been rolled back.
+    void statusConfirmed(MonotonicTime asOf);
     /// `runningGateways` includes this daemon and all that may be running.
     void setFleet(std::size_t runningGateways);
+    /// Called after each change of the registry, before the next `choose`.
     void setEndpoints(const EndpointRegistry& registry, MonotonicTime now);
     /// The store has confirmed that all operators' records up to `asOf` are known: `asOf` is the time at which the read was
     /// sent. All records that it returned must have been passed to `setOrder` before.
     void operatorsConfirmed(MonotonicTime asOf);
 
-    /// Returns the engines that a request of the service may use now. Called for each send, including retries.
+    /// Returns the engines that a request of the service may use now. Called for each send, including retries. `recordSend`
+    /// follows before the next call for the service: a request that waits in between is placed again.
     VersionChoice choose(const ServiceId& service, MonotonicTime now) const;
     void recordSend(const EndpointEntry& endpoint, MonotonicTime now);
     /// Records a response. `isFailure`: status 500 or more that is not "not executed", malformed, or broken off. `latency` is
@@ -323,44 +369,60 @@
     void recordPeerReport(const HostId& peer, Incarnation incarnation, const RolloutReport& report, MonotonicTime now);
 
     /// Returns a state that this daemon should write now, if any. Called until it returns nothing. A state is returned again
-    /// after `kWriteInterval` unless it was read from the store meanwhile.
+    /// after `VersionRollout::kWriteInterval` unless it was read from the store meanwhile.
     std::optional<RolloutStatus> takeWrite(bool isLeader, MonotonicTime now);
-    static constexpr std::chrono::milliseconds kWriteInterval { 300 };
 
     std::vector<RolloutEvent> takeEvents();
     const RolloutCounters& counters() const { return m_counters; }
 
 private:
-    struct HeldVersion {
-        MonotonicTime firstSeen;
+    struct InProgress {
+        std::string version;
+        std::uint64_t requests = 0;
+    };
+    struct PendingReport {
+        Incarnation incarnation;
+        RolloutReport::Service report;
     };
     struct Service {
         std::optional<VersionRollout> rollout; ///< of the newest order, also after its end
         std::optional<RolloutStatus> status; ///< newest read from the store
         std::map<std::string, std::set<EndpointId>> engines; ///< listed, by version
-        std::map<std::string, HeldVersion> held; ///< versions for which no operator's record may be known yet
+        std::map<std::string, MonotonicTime> held; ///< when versions were first seen whose order may not be known yet
         std::set<std::string> released; ///< versions that were in use or whose order is known
         std::set<std::string> excluded; ///< versions of ended orders, until their engines are gone
         std::set<std::string> baseline; ///< versions in use when the newest order came
-        std::map<EndpointId, std::uint64_t> inProgress;
+        MonotonicTime nextAbandonedWrite {};
+        std::map<EndpointId, InProgress> inProgress;
         bool isInvalidLogged = false;
+        bool isFinished = false; ///< the end of the newest order has taken effect on the versions
+        bool isOrderRemoved = false;
     };
 
-    /// Returns the versions that must get no requests; without the one that is being rolled out.
+    /// Returns the versions that must get no requests, apart from the one that is being rolled out.
     std::set<std::string> blocked(const Service& service, MonotonicTime now) const;
+    /// Returns whether an engine of a version that is neither in `blocked` nor `version` is listed.
+    static bool hasOther(const Service& service, const std::set<std::string>& blocked, const std::string& version);
+    static bool isInRegularUse(const Service& service, const std::string& version);
     void applyStatus(Service& service, MonotonicTime now);
+    /// Applies a state of an earlier order than the newest.
+    static void applyEarlierStatus(Service& service);
     void judge(Service& service, MonotonicTime now);
-    void finish(Service& service);
+    /// Excludes the version that lost, once the order has ended.
+    static void finish(Service& service);
+    static void setEngines(Service& service);
     static std::uint64_t oldInProgress(const Service& service);
-    void addEvent(RolloutEvent::Kind kind, const Service& service, Judgement judgement = {}, std::string reason = {});
+    std::optional<RolloutStatus> takeAbandoned(Service& service, bool isLeader, MonotonicTime now);
+    void addEvent(RolloutEvent::Kind kind, const VersionRollout& rollout, Judgement judgement = {}, std::string reason = {});
 
     VersionRolloutLimits m_limits;
     HostId m_self;
     std::size_t m_fleet = 0;
-    bool m_isStatusConfirmed = false;
+    MonotonicTime m_statusConfirmedAsOf = MonotonicTime::min(); ///< the minimum before the first confirmation
     std::optional<MonotonicTime> m_operatorsConfirmedAsOf;
+    bool m_hasListing = false;
     std::map<ServiceId, Service> m_services;
-    std::map<HostId, std::map<ServiceId, RolloutReport::Service>> m_pending; ///< reports about orders not known yet
+    std::map<HostId, std::map<ServiceId, PendingReport>> m_pending; ///< reports about orders not known yet
     std::vector<RolloutEvent> m_events;
     RolloutCounters m_counters;
 };
