Describe rollouts for operators and pass the time of each read of the states on

The decision modules use the time at which a read was sent, since a daemon that was frozen may hold a state that was replaced long ago.

--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -118,13 +118,14 @@
     applyRecords(topic, page.records);
     if (isListing)
         applyRecords(topic, m_replica.findWithdrawn(topic, page.records, page.next));
+    const auto sentAt = now - current.poll.pendingTime(now);
     if (topic == DirectoryTopic::Operators) {
         m_state.configConfirmedAt = now;
         if (m_state.versionRollouts)
-            m_state.versionRollouts->operatorsConfirmed(now - current.poll.pendingTime(now));
+            m_state.versionRollouts->operatorsConfirmed(sentAt);
     }
     if (topic == DirectoryTopic::Status)
-        m_state.versionRollouts->statusConfirmed();
+        m_state.versionRollouts->statusConfirmed(sentAt);
     current.timer.set(current.poll.onAnswer(pollPolicy(topic), page.next, !page.records.empty(), now));
 }
 
--- a/src/hornbeamgate/runtime/gateway/version_rollout_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/version_rollout_task.cpp
@@ -114,16 +114,18 @@
     if (m_isWriting || m_due.empty())
         return;
     m_isWriting = true;
-    m_directory.readStatusEnd([this, wanted = std::move(m_due.extract(m_due.begin()).mapped())](const Result<DirectoryPage, DirectoryError>& page) { onStatusRead(wanted, page); });
+    const auto wanted = std::move(m_due.extract(m_due.begin()).mapped());
+    m_directory.readStatusEnd([this, wanted, sentAt = MonotonicClock::now()](const Result<DirectoryPage, DirectoryError>& page) { onStatusRead(wanted, page, sentAt); });
 }
 
-void VersionRolloutTask::onStatusRead(const RolloutStatus& wanted, const Result<DirectoryPage, DirectoryError>& page)
+void VersionRolloutTask::onStatusRead(const RolloutStatus& wanted, const Result<DirectoryPage, DirectoryError>& page, MonotonicTime sentAt)
 {
     if (!page) {
         onCallFailed(wanted, "read", page.error());
         return;
     }
     m_records.applyRecords(DirectoryTopic::Status, page->records);
+    m_state.versionRollouts->statusConfirmed(sentAt);
     if (!maySucceed(wanted, *page) || !isStillDue(wanted, MonotonicClock::now())) {
         m_isWriting = false;
         return;
--- a/src/hornbeamgate/runtime/gateway/version_rollout_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/version_rollout_task.hpp
@@ -29,7 +29,7 @@
     void collectWrites(MonotonicTime now);
     /// Starts the next write unless one is in progress.
     void writeNext();
-    void onStatusRead(const RolloutStatus& wanted, const Result<DirectoryPage, DirectoryError>& page);
+    void onStatusRead(const RolloutStatus& wanted, const Result<DirectoryPage, DirectoryError>& page, MonotonicTime sentAt);
     void onAppended(const RolloutStatus& written, const Result<LogOffset, DirectoryError>& end);
     void onCallFailed(const RolloutStatus& wanted, std::string_view call, const DirectoryError& error);
     /// Returns whether the state may follow the newest one in the store.
--- a/tests/platform/gateway_fleet.hpp
+++ b/tests/platform/gateway_fleet.hpp
@@ -182,6 +182,8 @@
             entry.address = engine.acceptor->address();
             entry.slots = 8;
             gateway->state.registry.put(entry);
+            if (gateway->state.versionRollouts)
+                gateway->state.versionRollouts->setEndpoints(gateway->state.registry, MonotonicClock::now());
         }
     }
 
