--- a/src/hornbeamgate/gateway/version_rollout.hpp
+++ b/src/hornbeamgate/gateway/version_rollout.hpp
@@ -5,6 +5,7 @@
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
 #include "hornbeamgate/gateway/version_judge.hpp"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdint>
