Drop a state whose read was answered while the daemon was frozen

Cause: what a daemon wants to write rests on reports from before; a daemon that thaws between its read and its append could write them although a verdict is waiting in its socket. Reads older than 2 s, longer than any call to the store, are repeated.

--- a/src/hornbeamgate/runtime/gateway/version_rollout_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/version_rollout_task.cpp
@@ -13,6 +13,9 @@
     /// Delay of a verdict's log line and of a write. Requests follow a verdict at once, without this task.
     constexpr milliseconds kTickInterval { 100 };
 
+    /// Longer than any call that the store answers; only a daemon that was frozen meanwhile sees an older answer.
+    constexpr milliseconds kMaxReadAge { 2000 };
+
     std::string_view stateName(RolloutState state)
     {
         constexpr std::array<std::string_view, 3> kNames { "running", "completed", "rolled_back" };
@@ -126,7 +129,8 @@
     }
     m_records.applyRecords(DirectoryTopic::Status, page->records);
     m_state.versionRollouts->statusConfirmed(sentAt);
-    if (!maySucceed(wanted, *page) || !isStillDue(wanted, MonotonicClock::now())) {
+    const auto now = MonotonicClock::now();
+    if (now > sentAt + kMaxReadAge || !maySucceed(wanted, *page) || !isStillDue(wanted, now)) {
         m_isWriting = false;
         return;
     }
--- a/tests/gateway/peer_report.test.cpp
+++ b/tests/gateway/peer_report.test.cpp
@@ -105,6 +105,23 @@
     CHECK(decoded->rollouts.services.empty());
 }
 
+TEST_CASE("a report about a rollout with many engines fits into one packet [peers]")
+{
+    // A datagram of several packets is lost when one of them is, and reports go to every peer.
+    constexpr std::size_t kMaxPacketPayload = 1400;
+    PeerReport report;
+    report.host = HostId("front-1");
+    RolloutReport::Service service { ServiceId("huvo11a"), LogOffset(80000), 1500ms, false, false, 40, {}, {} };
+    for (std::size_t i = 0; i < RolloutEvidence::kMaxReportedSamples; ++i)
+        service.candidate[EndpointId("i-0caab3d0" + std::to_string(10 + i))]["r-d4m2rpt" + std::to_string(i % 4)] = { 70000, 300 };
+    for (std::size_t i = 0; i < 4; ++i)
+        service.control["r-d4m2rpt" + std::to_string(i)] = { { 90000, 300 }, 70000us };
+    report.rollouts.services = { service };
+    const auto size = encodePeerReport(report).size();
+    CAPTURE(size);
+    CHECK(size <= kMaxPacketPayload);
+}
+
 TEST_CASE("counts of a rollout that cannot be right are rejected or limited [peers]")
 {
     PeerReport report;
--- a/tests/gateway/placement.test.cpp
+++ b/tests/gateway/placement.test.cpp
@@ -434,3 +434,29 @@
     CHECK(placement.expectedWait > 200ms);
     CHECK(placement.expectedWait <= 250ms);
 }
+
+TEST_CASE("a request is placed only on versions that it may run on [placement]")
+{
+    // A version that was rolled back must not run requests, however short its queues are.
+    EndpointRegistry registry;
+    for (std::size_t i = 0; i < 4; ++i) {
+        auto entry = engine(i, "a");
+        entry.version = i < 2 ? "v1" : "v2";
+        registry.put(entry);
+    }
+    EndpointLoads loads;
+    for (std::uint64_t send = 0; send < 8; ++send)
+        loads.sent(EndpointId("e100"), send, 0, at(0ms));
+    const auto placer = placerAt("a");
+    const EndpointView view { registry, loads, kNoAdvice, kNoBlocks };
+    auto request = shortPrompt();
+    request.tried = { EndpointId("e101") };
+    request.versions = VersionChoice::allExcept({ "v2" });
+    CHECK(placer.choose(request, view, at(1ms)).endpoint == EndpointId("e100"));
+    request.versions = VersionChoice::only("v2", { EndpointId("e103") });
+    CHECK(placer.choose(request, view, at(1ms)).endpoint == EndpointId("e103"));
+    request.versions = VersionChoice::only("v3", {});
+    CHECK_FALSE(placer.choose(request, view, at(1ms)).endpoint);
+    request.versions.reset();
+    CHECK(placer.choose(request, view, at(1ms)).endpoint != EndpointId("e100"));
+}
--- a/tests/platform/version_rollout.test.cpp
+++ b/tests/platform/version_rollout.test.cpp
@@ -1,7 +1,7 @@
 #include "platform/gateway_fleet.hpp"
 
 #include <memory>
-#include <set>
+#include <thread>
 
 using namespace hornbeamgate;
 using namespace hornbeamgate::gateway;
@@ -360,6 +360,32 @@
     }
 }
 
+TEST_CASE("a gateway that was frozen between reading and writing reads again [rollout]")
+{
+    // What it wanted to write rests on reports from before, which may contradict the newest ones.
+    WriterFixture fixture;
+    std::this_thread::sleep_for(2100ms);
+    fixture.answerRead({ {}, LogOffset(4) });
+    CHECK(fixture.directory().appendedStatuses.empty());
+    REQUIRE(runUntil([&] { return !fixture.directory().statusReads.empty(); }));
+    fixture.answerRead({ {}, LogOffset(4) });
+    CHECK(fixture.directory().appendedStatuses.size() == 1);
+}
+
+TEST_CASE("a verdict during the read of the store keeps a gateway from writing anything but the rollback [rollout]")
+{
+    WriterFixture fixture;
+    RolloutReport report;
+    report.services.push_back({ kService, LogOffset(6), 10ms, true, false, 0, {}, {} });
+    fixture.gateway().state.versionRollouts->recordPeerReport(HostId("front-9"), Incarnation(1), report, MonotonicClock::now());
+    fixture.answerRead({ {}, LogOffset(4) });
+    CHECK(fixture.directory().appendedStatuses.empty());
+    REQUIRE(runUntil([&] { return !fixture.directory().statusReads.empty(); }));
+    fixture.answerRead({ {}, LogOffset(4) });
+    REQUIRE(fixture.directory().appendedStatuses.size() == 1);
+    CHECK(fixture.directory().appendedStatuses.front().first.state == RolloutState::RolledBack);
+}
+
 TEST_CASE("a state of an earlier order is followed by one of the new order [rollout]")
 {
     WriterFixture fixture;
@@ -384,6 +410,8 @@
 {
     EngineStandIn oldEngine;
     EngineStandIn newEngine;
+    // Of two idle engines, the same one gets every request.
+    oldEngine.delay = newEngine.delay = 40ms;
     GatewayFleet fleet(1);
     auto& gateway = *fleet.gateways.front();
     makeLeader(gateway);
