--- a/tests/platform/fake_directory.hpp
+++ b/tests/platform/fake_directory.hpp
@@ -48,7 +48,7 @@
     void readStatusEnd(Callback<DirectoryPage> callback) override { statusReads.push_back(std::move(callback)); }
     void appendStatus(const RolloutStatus& status, LogOffset at, Callback<LogOffset> callback) override
     {
-        appendedStatuses.push_back({ status, at });
+        appendedStatuses.emplace_back(status, at);
         statusAppends.push_back(std::move(callback));
     }
     std::optional<ServiceId> findRolloutService(const std::string& key) const override { return platform::serviceOfRolloutKey(key); }
--- a/tests/platform/version_responses.test.cpp
+++ b/tests/platform/version_responses.test.cpp
@@ -38,7 +38,8 @@
 TEST_CASE("a response with an error of the server is bad, and one with an error of the caller is not [rollout]")
 {
     const std::map<int, RouteSample> expected { { 200, { 1, 0 } }, { 404, { 1, 0 } }, { 500, { 1, 1 } }, { 502, { 1, 1 } }, { 503, { 1, 1 } }, { 429, { 1, 0 } } };
-    for (const auto& [status, sample] : expected) {
+    for (const auto& [code, sample] : expected) {
+        const int status = code;
         CAPTURE(status);
         RolloutGateway gateway;
         gateway.request("/booking/a");
