Order, abort and look at rollouts with hornbeamctl

Each change is sent once: a repeated order would begin the observation again, so a lost answer ends as exit code 5 and the operator looks at rollout status. Ruled out: a separate client for the store in the command, as the platform's wire format belongs to the adapter.

--- a/src/hornbeamgate/runtime/gateway/version_rollout_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/version_rollout_task.cpp
@@ -1,6 +1,7 @@
 #include "hornbeamgate/runtime/gateway/version_rollout_task.hpp"
 
 #include "hornbeamgate/observability/log.hpp"
+#include "hornbeamgate/runtime/gateway/rollout_names.hpp"
 
 #include <utility>
 
@@ -16,18 +17,6 @@
     /// Longer than any call that the store answers; only a daemon that was frozen meanwhile sees an older answer.
     constexpr milliseconds kMaxReadAge { 2000 };
 
-    std::string_view stateName(RolloutState state)
-    {
-        constexpr std::array<std::string_view, 3> kNames { "running", "completed", "rolled_back" };
-        return kNames[static_cast<std::size_t>(state)];
-    }
-
-    std::string_view phaseName(RolloutPhase phase)
-    {
-        constexpr std::array<std::string_view, 2> kNames { "observe", "shift" };
-        return kNames[static_cast<std::size_t>(phase)];
-    }
-
     std::string_view verdictName(Verdict verdict)
     {
         constexpr std::array<std::string_view, 3> kNames { "undecided", "good", "bad" };
@@ -55,7 +44,7 @@
             logEvent(LogEvent::RolloutOrdered, { service, version, order, { "outcome", "invalid" }, { "reason", event.reason } });
             return;
         case RolloutEvent::Kind::Phase:
-            logEvent(LogEvent::RolloutPhase, { service, version, order, { "state", stateName(event.state) }, { "phase", phaseName(event.phase) } });
+            logEvent(LogEvent::RolloutPhase, { service, version, order, { "state", nameOf(event.state) }, { "phase", nameOf(event.phase) } });
             return;
         case RolloutEvent::Kind::Verdict:
             logEvent(LogEvent::RolloutVerdict, { service, version, order, { "verdict", verdictName(event.judgement.verdict) }, { "route", event.judgement.route }, { "responses", event.judgement.candidate.responses }, { "bad", event.judgement.candidate.bad }, { "control_share", event.judgement.controlShare }, { "reason", event.reason } });
@@ -146,14 +135,14 @@
     m_isWriting = false;
     if (const auto due = m_due.find(written.service); due != m_due.end() && due->second == written)
         m_due.erase(due);
-    logEvent(LogEvent::RolloutWritten, { { "service", written.service.value() }, { "version", written.version }, { "order", written.order.value() }, { "state", stateName(written.state) }, { "phase", phaseName(written.phase) } });
+    logEvent(LogEvent::RolloutWritten, { { "service", written.service.value() }, { "version", written.version }, { "order", written.order.value() }, { "state", nameOf(written.state) }, { "phase", nameOf(written.phase) } });
     m_state.versionRollouts->setStatus(written, MonotonicClock::now());
 }
 
 void VersionRolloutTask::onCallFailed(const RolloutStatus& wanted, std::string_view call, const DirectoryError& error)
 {
     m_isWriting = false;
-    logEvent(LogEvent::RolloutWriteFailed, { { "service", wanted.service.value() }, { "version", wanted.version }, { "state", stateName(wanted.state) }, { "call", call }, { "reason", error.detail } });
+    logEvent(LogEvent::RolloutWriteFailed, { { "service", wanted.service.value() }, { "version", wanted.version }, { "state", nameOf(wanted.state) }, { "call", call }, { "reason", error.detail } });
 }
 
 bool VersionRolloutTask::maySucceed(const RolloutStatus& wanted, const DirectoryPage& page) const
--- a/src/programs/hornbeamctl_commands.cpp
+++ b/src/programs/hornbeamctl_commands.cpp
@@ -3,6 +3,7 @@
 #include "hornbeamctl_log.hpp"
 #include "hornbeamctl_options.hpp"
 #include "hornbeamctl_report.hpp"
+#include "hornbeamctl_rollout.hpp"
 
 #include "hornbeamgate/base/digest.hpp"
 #include "hornbeamgate/config/rules_parser.hpp"
@@ -56,6 +57,17 @@
         return ConfigVersion(version);
     }
 
+    /// Duration of a rollout, which the gateways limit to a year.
+    std::optional<std::chrono::milliseconds> parseSeconds(std::string_view text)
+    {
+        constexpr double kMaxSeconds = 365 * 24 * 3600;
+        double seconds = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+        if (error != std::errc {} || end != text.data() + text.size() || !(seconds > 0 && seconds <= kMaxSeconds))
+            return std::nullopt;
+        return std::chrono::ceil<std::chrono::milliseconds>(std::chrono::duration<double>(seconds));
+    }
+
     class Command {
     public:
         Command(Options options, const Report& report)
@@ -70,6 +82,8 @@
             for (const auto& entry : entries()) {
                 if (!matches(entry))
                     continue;
+                if (entry.needsStore && !m_options.store)
+                    return m_report.usageError("this command needs --store");
                 if (entry.needsLog && !m_options.log)
                     return m_report.usageError("this command needs --log");
                 if (entry.needsAuthor && m_options.author.empty())
@@ -82,23 +96,27 @@
     private:
         struct Entry {
             std::vector<std::string> words;
-            bool hasArgument;
+            std::size_t arguments;
             bool needsLog;
             bool needsAuthor;
-            ExitCode (Command::*run)(const std::string& argument);
+            ExitCode (Command::*run)(const std::string& argument); ///< called with the last argument
+            bool needsStore = false;
         };
 
         static const std::vector<Entry>& entries()
         {
             static const std::vector<Entry> kEntries {
-                { { "check" }, true, false, false, &Command::check },
-                { { "publish" }, true, true, true, &Command::publishFile },
-                { { "show" }, false, true, false, &Command::show },
-                { { "diff" }, true, true, false, &Command::diff },
-                { { "key", "issue" }, true, true, true, &Command::issueKey },
-                { { "key", "withdraw" }, true, true, true, &Command::withdrawKey },
-                { { "status" }, false, true, false, &Command::status },
-                { { "dump" }, true, false, false, &Command::dump },
+                { { "check" }, 1, false, false, &Command::check },
+                { { "publish" }, 1, true, true, &Command::publishFile },
+                { { "show" }, 0, true, false, &Command::show },
+                { { "diff" }, 1, true, false, &Command::diff },
+                { { "key", "issue" }, 1, true, true, &Command::issueKey },
+                { { "key", "withdraw" }, 1, true, true, &Command::withdrawKey },
+                { { "status" }, 0, true, false, &Command::status },
+                { { "dump" }, 1, false, false, &Command::dump },
+                { { "rollout", "start" }, 3, false, false, &Command::startRollout, true },
+                { { "rollout", "status" }, 1, false, false, &Command::rolloutStatus, true },
+                { { "rollout", "abort" }, 1, false, false, &Command::abortRollout, true },
             };
             return kEntries;
         }
@@ -106,7 +124,7 @@
         bool matches(const Entry& entry) const
         {
             const auto& words = m_options.words;
-            const auto expected = entry.words.size() + (entry.hasArgument ? 1 : 0);
+            const auto expected = entry.words.size() + entry.arguments;
             return words.size() == expected && std::equal(entry.words.begin(), entry.words.end(), words.begin());
         }
 
@@ -177,6 +195,29 @@
             return m_report.outcome(published.outcome, published.id);
         }
 
+        ExitCode startRollout(const std::string& seconds)
+        {
+            const auto duration = parseSeconds(seconds);
+            if (!duration)
+                return m_report.usageError("rollout start needs a positive number of seconds");
+            const auto& version = m_options.words.at(3);
+            if (version.empty())
+                return m_report.usageError("rollout start needs a version");
+            const ServiceId service(m_options.words.at(2));
+            return m_report.rolloutChange("ordered", ctl::startRollout(*m_options.store, { service, version, *duration, {} }));
+        }
+
+        ExitCode abortRollout(const std::string& service)
+        {
+            return m_report.rolloutChange("aborted", ctl::abortRollout(*m_options.store, ServiceId(service)));
+        }
+
+        ExitCode rolloutStatus(const std::string& service)
+        {
+            const auto records = readRollout(*m_options.store, ServiceId(service), m_deadline);
+            return records ? m_report.rollout(*records) : m_report.notDone(records.error());
+        }
+
         struct Published {
             PublishOutcome outcome;
             ProposalId id;
--- a/src/programs/hornbeamctl_options.cpp
+++ b/src/programs/hornbeamctl_options.cpp
@@ -28,6 +28,10 @@
   key withdraw KEY         remove a key from the configuration
   status                   tell the accepted version and the last changes
   dump IP:PORT             print the state of the daemon with this admin address
+  rollout start SERVICE VERSION SECONDS
+                           order that a service's traffic moves to a version
+  rollout status SERVICE   tell the order and the state of a service's rollout
+  rollout abort SERVICE    remove the order; the version gets no more requests
 
 publish builds on the version that the file names in its first line, '# version N',
 as show prints it, or on --base. When another change was accepted meanwhile nothing
@@ -42,7 +46,8 @@
   2  wrong usage
   3  the rules are faulty
   4  another change was accepted first; this one never will be
-  5  unknown whether the change is or will be accepted; repeat it with --proposal
+  5  unknown whether the change is or will be accepted; repeat it with --proposal,
+     or look at rollout status
   6  not done: the log, the host or a file could not be used; nothing was published
 )";
 
@@ -51,6 +56,7 @@
         po::options_description options("Options");
         auto add = options.add_options();
         add("log", po::value<std::string>()->value_name("URL"), "address of the platform's log, http://IP:PORT");
+        add("store", po::value<std::string>()->value_name("URL"), "address of the platform's store, http://IP:PORT (rollout)");
         add("as", po::value<std::string>()->value_name("NAME"), "who asks; kept with every change");
         add("base", po::value<std::string>()->value_name("N|current"), "version that the change builds on");
         add("proposal", po::value<std::string>()->value_name("ID"), "id of an earlier attempt to repeat (publish) or to look up (status)");
@@ -73,15 +79,15 @@
         return BaseOption { false, ConfigVersion(version) };
     }
 
-    Result<SocketAddress, std::string> parseLogAddress(std::string_view text)
+    Result<SocketAddress, std::string> parseUrl(const std::string& option, std::string_view text)
     {
         constexpr std::string_view kScheme = "http://";
         if (!text.starts_with(kScheme))
-            return failure(std::string("--log takes an address of the form http://IP:PORT"));
+            return failure(option + " takes an address of the form http://IP:PORT");
         text.remove_prefix(kScheme.size());
         if (text.ends_with('/'))
             text.remove_suffix(1);
-        return parseSocketAddress(text).map_error([](const std::string& detail) { return "--log: " + detail; });
+        return parseSocketAddress(text).map_error([&option](const std::string& detail) { return option + ": " + detail; });
     }
 
     std::string textOf(const po::variables_map& values, const char* name)
@@ -119,11 +125,17 @@
             options.base = *base;
         }
         if (values.contains("log")) {
-            auto log = parseLogAddress(textOf(values, "log"));
+            auto log = parseUrl("--log", textOf(values, "log"));
             if (!log)
                 return log.error();
             options.log = std::move(*log);
         }
+        if (values.contains("store")) {
+            auto store = parseUrl("--store", textOf(values, "store"));
+            if (!store)
+                return store.error();
+            options.store = std::move(*store);
+        }
         return std::nullopt;
     }
 
--- a/src/programs/hornbeamctl_options.hpp
+++ b/src/programs/hornbeamctl_options.hpp
@@ -34,6 +34,7 @@
     bool wantsHelp = false;
     std::vector<std::string> words; ///< command and its arguments
     std::optional<SocketAddress> log;
+    std::optional<SocketAddress> store;
     std::string author;
     std::string keyName;
     std::string pepperFile;
--- a/src/programs/hornbeamctl_report.cpp
+++ b/src/programs/hornbeamctl_report.cpp
@@ -1,9 +1,12 @@
 #include "hornbeamctl_report.hpp"
 
+#include "hornbeamgate/runtime/gateway/rollout_names.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <ostream>
+#include <sstream>
 
 namespace hornbeamgate::ctl {
 namespace {
@@ -206,4 +209,48 @@
     return ExitCode::Done;
 }
 
+ExitCode Report::rollout(const RolloutRecords& records) const
+{
+    json object = json::object();
+    std::string text = "no order\n";
+    if (const auto& order = records.order) {
+        const auto seconds = std::chrono::duration<double>(order->duration).count();
+        object["order"] = { { "offset", order->offset.value() }, { "to", order->version }, { "duration_s", seconds } };
+        std::ostringstream line;
+        line << "order " << order->offset.value() << ": to " << order->version << " within " << seconds << " s\n";
+        text = line.str();
+    }
+    if (const auto& status = records.status) {
+        const std::string state(gateway::nameOf(status->state));
+        const std::string phase(gateway::nameOf(status->phase));
+        object["state"] = { { "order", status->order.value() }, { "to", status->version }, { "state", state }, { "phase", phase } };
+        text += "state of order " + std::to_string(status->order.value()) + ": " + state + (status->state == gateway::RolloutState::Running ? ", " + phase : std::string()) + ", to " + status->version + '\n';
+    } else {
+        text += "no state\n";
+    }
+    if (m_isJson)
+        m_out << printable(object) << '\n';
+    else
+        m_out << text;
+    return ExitCode::Done;
+}
+
+ExitCode Report::rolloutChange(const std::string& done, const Result<LogOffset, std::string>& change) const
+{
+    const auto word = change ? done : std::string("unknown");
+    if (m_isJson) {
+        json object { { "outcome", word } };
+        if (change)
+            object["offset"] = change->value();
+        else
+            object["detail"] = change.error();
+        m_out << printable(object) << '\n';
+    } else if (change) {
+        m_out << done << " at offset " << change->value() << '\n';
+    } else {
+        m_errors << "hornbeamctl: unknown whether the store has the change or will have it: " << change.error() << "; rollout status shows it\n";
+    }
+    return change ? ExitCode::Done : ExitCode::OutcomeUnknown;
+}
+
 } // namespace hornbeamgate::ctl
--- a/src/programs/hornbeamctl_report.hpp
+++ b/src/programs/hornbeamctl_report.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hornbeamctl_options.hpp"
+#include "hornbeamctl_rollout.hpp"
 #include "hornbeamgate/config/config_publisher.hpp"
 
 #include <iosfwd>
@@ -27,6 +28,9 @@
     ExitCode outcome(const PublishOutcome& outcome, const ProposalId& proposal) const;
     ExitCode issued(const PublishOutcome& outcome, const ProposalId& proposal, const std::string& key, const std::string& secret) const;
     ExitCode dump(const std::string& body) const;
+    ExitCode rollout(const RolloutRecords& records) const;
+    /// `done` says what became of the order if the change was stored.
+    ExitCode rolloutChange(const std::string& done, const Result<LogOffset, std::string>& change) const;
 
 private:
     std::ostream& m_out;
