--- a/src/hornbeamgate/gateway/version_judge.hpp
+++ b/src/hornbeamgate/gateway/version_judge.hpp
@@ -52,6 +52,9 @@
     static constexpr double kMaxAlternativeShare = 0.95;
     /// Evidence of one engine counts up to this part of the threshold for "bad" if the version has several engines.
     static constexpr double kMaxEngineEvidence = 0.6;
+    /// If that limit takes effect, the other engines must have this many bad responses for the verdict "bad". Without it, one
+    /// bad response of another engine would do, which a good version often has.
+    static constexpr std::uint64_t kMinBadElsewhere = 3;
     /// A route with fewer responses on either side is judged only as a part of the sum.
     static constexpr std::uint64_t kMinRouteResponses = 10;
 
--- a/src/hornbeamgate/gateway/version_rollout.cpp
+++ b/src/hornbeamgate/gateway/version_rollout.cpp
@@ -116,6 +116,7 @@
     const RouteSample response { 1, isBad(route, isFailure, latency) ? 1U : 0U };
     m_candidate[engine][route] += response;
     m_sums.candidate[engine][route] += response;
+    m_candidateTotal += response;
     return response.bad > 0;
 }
 
@@ -176,7 +177,9 @@
             auto& known = counts.candidate[engine];
             if (!known.contains(route) && ++counts.samples > kMaxSamplesOfPeer)
                 return;
-            m_sums.candidate[engine][route] += advance(known[route], sample);
+            const auto added = advance(known[route], sample);
+            m_sums.candidate[engine][route] += added;
+            m_candidateTotal += added;
         }
     }
     for (const auto& [route, control] : report.control) {
@@ -278,6 +281,7 @@
     if (status.state == RolloutState::Running && status.phase == RolloutPhase::Shift && m_phase == RolloutPhase::Observe) {
         m_phase = RolloutPhase::Shift;
         m_shiftReadAt = now;
+        m_paceCredit = 0;
     }
 }
 
@@ -287,9 +291,10 @@
     m_largestFleet = std::max(m_largestFleet, runningDaemons);
 }
 
-void VersionRollout::setEngines(const std::set<EndpointId>& candidates, bool isServiceKnown)
+void VersionRollout::setEngines(const std::set<EndpointId>& candidates, std::size_t others)
 {
-    m_isServiceKnown = isServiceKnown || m_isServiceKnown.value_or(false);
+    m_oldEngines = others;
+    m_isServiceKnown = others > 0 || !candidates.empty() || m_isServiceKnown.value_or(false);
     m_isVersionSeen |= !candidates.empty();
     if (candidates == m_candidates)
         return;
@@ -305,14 +310,34 @@
     const auto key = stableHash(m_order.service.value(), m_order.offset.value());
     std::vector<std::pair<std::uint64_t, EndpointId>> ranked;
     ranked.reserve(m_candidates.size());
-    for (const auto& engine : m_candidates)
-        ranked.emplace_back(rendezvousScore(engine.value(), key), engine);
+    for (const auto& engine : m_candidates) {
+        if (!m_failing.contains(engine))
+            ranked.emplace_back(rendezvousScore(engine.value(), key), engine);
+    }
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
     m_canaries.clear();
-    for (std::size_t i = 0; i < count; ++i)
+    for (std::size_t i = 0; i < std::min(count, ranked.size()); ++i)
         m_canaries.insert(ranked.at(i).second);
 }
 
+void VersionRollout::replaceFailingCanaries()
+{
+    // More engines than this don't fail by themselves.
+    const auto most = std::max<std::size_t>(1, m_candidates.size() / 4);
+    const auto& sums = m_evidence.sums();
+    std::set<EndpointId> failing;
+    for (const auto& engine : m_canaries) {
+        const auto samples = sums.candidate.find(engine);
+        if (m_candidates.size() > 1 && m_failing.size() + failing.size() < most && samples != sums.candidate.end()
+            && VersionJudge().judge({ *samples }, sums.control) == Verdict::Bad)
+            failing.insert(engine);
+    }
+    if (failing.empty())
+        return;
+    m_failing.merge(failing);
+    chooseCanaries();
+}
+
 void VersionRollout::abort(MonotonicTime now)
 {
     m_isAborted = true;
@@ -372,24 +397,35 @@
 {
     if (isStopped() || m_candidates.empty())
         return false;
+    const bool isDue = m_paceCredit + pace(now) >= 1;
     if (m_phase == RolloutPhase::Shift)
-        return m_shiftCredit + shiftShare(now) >= 1;
+        return isDue;
     // After the latest shift, further observation can't change the outcome.
-    if (isPast(kLatestShift, now) || (m_exposed > 0 && m_sendsSinceExposed < kMinSendsBetween))
-        return false;
-    return static_cast<double>(m_exposed) + 1 <= m_credit + static_cast<double>(slackPart());
+    return isDue && !isPast(kLatestShift, now) && static_cast<double>(m_exposed) + 1 <= m_credit + static_cast<double>(slackPart());
+}
+
+double VersionRollout::pace(MonotonicTime now) const
+{
+    if (m_phase == RolloutPhase::Shift)
+        return shiftShare(now);
+    if (!isPast(kCautiousEnd, now))
+        return kCautiousPace;
+    const auto engines = std::max<std::size_t>(1, m_oldEngines == 0 ? m_candidates.size() : std::min(m_oldEngines, m_candidates.size()));
+    const auto burstPace = std::min(kMaxBurstPace, static_cast<double>(m_canaries.size()) / static_cast<double>(engines));
+    const auto burstPart = burstPace <= 0 ? 1 : std::min(1.0, creditPerSend(now) / burstPace);
+    const auto time = std::chrono::duration<double>(age(now)) / std::chrono::duration<double>(m_order.duration) - kCautiousEnd;
+    return std::fmod(time, kBurstInterval) >= kBurstInterval * (1 - burstPart) ? burstPace : 0;
 }
 
 void VersionRollout::recordSend(bool isCandidate, MonotonicTime now)
 {
+    // Requests that could not go where they were due are not made up for at once.
+    constexpr double kMaxPaceCredit = 4;
     ++m_sends;
-    if (m_phase == RolloutPhase::Shift) {
-        constexpr double kMaxShiftCredit = 4;
-        m_shiftCredit = std::clamp(m_shiftCredit + shiftShare(now) - (isCandidate ? 1 : 0), -kMaxShiftCredit, kMaxShiftCredit);
+    m_paceCredit = std::clamp(m_paceCredit + pace(now) - (isCandidate ? 1 : 0), -kMaxPaceCredit, kMaxPaceCredit);
+    if (m_phase == RolloutPhase::Shift)
         return;
-    }
     m_credit = std::min(m_credit + creditPerSend(now), kObservedShare * m_limits.exposureShare * static_cast<double>(m_sends));
-    m_sendsSinceExposed = isCandidate ? 0 : m_sendsSinceExposed + 1;
     m_exposed += isCandidate ? 1 : 0;
 }
 
@@ -476,8 +512,14 @@
         total.verdict = Verdict::Bad;
         return total;
     }
+    // Fewer bad responses never suffice: each adds log(0.16 / 0.01) at most.
+    constexpr std::uint64_t kMinBad = 3;
     for (const auto& start : m_checkpoints) {
-        const auto sums = since(start);
+        if (m_evidence.candidateTotal().bad < start.bad + kMinBad)
+            continue;
+        auto sums = since(start.sums);
+        // Its part of the evidence would bring each of the tests close to the verdict "bad".
+        std::erase_if(sums.candidate, [this](const auto& engine) { return m_failing.contains(engine.first); });
         auto judgement = judge.judgeInDetail(withAllEngines(sums.candidate), sums.control);
         if (judgement.verdict == Verdict::Bad)
             return judgement;
@@ -496,9 +538,14 @@
     if (now >= m_nextCheckpoint) {
         m_nextCheckpoint = now + m_order.duration / kTests;
         if (m_checkpoints.size() < kTests)
-            m_checkpoints.push_back(m_evidence.sums());
+            m_checkpoints.push_back({ m_evidence.sums(), m_evidence.candidateTotal().bad });
     }
+    if (m_evidence.candidateTotal() == m_judgedTotal)
+        return std::nullopt;
+    m_judgedTotal = m_evidence.candidateTotal();
     auto judgement = judgeAll();
+    if (judgement.verdict != Verdict::Bad)
+        replaceFailingCanaries();
     if (judgement.verdict == m_verdict)
         return std::nullopt;
     m_verdict = judgement.verdict;
@@ -731,8 +778,16 @@
 {
     if (!service.rollout)
         return;
-    const auto found = service.engines.find(service.rollout->order().version);
-    service.rollout->setEngines(found == service.engines.end() ? std::set<EndpointId>() : found->second, !service.engines.empty());
+    const auto& version = service.rollout->order().version;
+    std::set<EndpointId> candidates;
+    std::size_t others = 0;
+    for (const auto& [other, engines] : service.engines) {
+        if (other == version)
+            candidates = engines;
+        else if (!service.excluded.contains(other))
+            others += engines.size();
+    }
+    service.rollout->setEngines(candidates, others);
 }
 
 void VersionRollouts::setEndpoints(const EndpointRegistry& registry, MonotonicTime now)
--- a/src/hornbeamgate/gateway/version_rollout.hpp
+++ b/src/hornbeamgate/gateway/version_rollout.hpp
@@ -157,6 +157,8 @@
     };
     /// Returns the sums over all daemons.
     const Sums& sums() const { return m_sums; }
+    /// Responses of the new version, counted over all daemons.
+    const RouteSample& candidateTotal() const { return m_candidateTotal; }
     /// Returns the sums without the counts of daemons whose last report was sent before `since`.
     Sums sumsSince(MonotonicTime since) const;
     /// Returns how many peers have sent a report since `since`.
@@ -192,6 +194,7 @@
     EngineSamples m_candidate;
     RouteSamples m_control;
     Sums m_sums;
+    RouteSample m_candidateTotal;
     std::map<std::string, LatencyHistogram> m_latencies; ///< of the control group, by route
     std::map<HostId, Incarnations> m_peers;
 };
@@ -220,8 +223,14 @@
     static constexpr std::uint64_t kMinResponses = 30;
     /// Bad responses beyond those the control group explains after which the version gets no more requests.
     static constexpr double kMaxUnexplainedBad = 40;
-    /// Sends to old engines between two to the new version while it is observed, so that the slack is not used up at once.
-    static constexpr std::uint64_t kMinSendsBetween = 3;
+    /// Part of the requests that may go to the new version in the cautious part of the observation, so that the slack is not
+    /// used up at once.
+    static constexpr double kCautiousPace = 0.25;
+    /// After the cautious part, the exposed requests are sent together at the end of intervals of this fraction of the
+    /// duration. The canaries then carry the load of an engine after the shift: spread evenly, the exposure would give two
+    /// canaries of ten engines a third of it, and a fault under load would not show.
+    static constexpr double kBurstInterval = 0.225;
+    static constexpr double kMaxBurstPace = 0.5;
     /// Number of tests that start during the duration; a version that turns bad later is found by those that start then.
     static constexpr int kTests = 16;
     /// A service of which no engine is listed for this long does not exist.
@@ -241,8 +250,8 @@
     void setStatus(const RolloutStatus& status, MonotonicTime now);
     void setFleet(std::size_t runningDaemons);
     void statusConfirmed(MonotonicTime asOf) { m_statusConfirmedAsOf = std::max(m_statusConfirmedAsOf, asOf); }
-    /// Sets the engines of the new version and whether the service has any engine.
-    void setEngines(const std::set<EndpointId>& candidates, bool isServiceKnown);
+    /// Sets the engines of the new version and the number of the service's other engines.
+    void setEngines(const std::set<EndpointId>& candidates, std::size_t others);
     void abort(MonotonicTime now);
 
     bool isRunning() const { return m_state == RolloutState::Running; }
@@ -280,6 +289,8 @@
     bool isPast(double fraction, MonotonicTime now) const;
     double creditPerSend(MonotonicTime now) const;
     double shiftShare(MonotonicTime now) const;
+    /// Returns which part of the requests should go to the new version now, as far as the exposure allows it.
+    double pace(MonotonicTime now) const;
     std::int64_t slackPart() const;
     bool favoursGood(MonotonicTime now) const;
     Judgement judgeAll() const;
@@ -287,6 +298,8 @@
     RolloutEvidence::Sums since(const RolloutEvidence::Sums& start) const;
     bool hasTooManyBad(const Judgement& total) const;
     void chooseCanaries();
+    /// Replaces canaries that fail by themselves, so that others show how the version is.
+    void replaceFailingCanaries();
     std::optional<RolloutStatus> dueWrite(bool isLeader, std::uint64_t oldInProgress, MonotonicTime now) const;
     RolloutStatus status(RolloutState state, RolloutPhase phase) const { return { m_order.service, m_order.version, state, phase, m_order.offset }; }
     void stop(MonotonicTime now);
@@ -304,6 +317,8 @@
     std::set<EndpointId> m_candidates; ///< engines of the new version
     std::set<EndpointId> m_canaries; ///< those that get requests while the version is observed
     std::optional<bool> m_isServiceKnown; ///< none before the first listing
+    std::set<EndpointId> m_failing; ///< engines of the new version that fail by themselves
+    std::size_t m_oldEngines = 0;
     bool m_isVersionSeen = false;
     std::size_t m_fleet = 0; ///< number of daemons; 0 if unknown
     std::size_t m_largestFleet = 0; ///< since the order
@@ -312,11 +327,15 @@
     double m_credit = 0; ///< sends to the new version that the share allows, without the slack
     std::uint64_t m_sends = 0; ///< of this daemon to the service
     std::uint64_t m_exposed = 0; ///< of these, to the new version while it is observed
-    std::uint64_t m_sendsSinceExposed = 0;
-    double m_shiftCredit = 0;
+    double m_paceCredit = 0; ///< sends that are due to the new version by the current pace
 
     RolloutEvidence m_evidence;
-    std::vector<RolloutEvidence::Sums> m_checkpoints; ///< from which further tests start
+    struct Checkpoint {
+        RolloutEvidence::Sums sums;
+        std::uint64_t bad = 0;
+    };
+    std::vector<Checkpoint> m_checkpoints; ///< from which further tests start
+    RouteSample m_judgedTotal;
     MonotonicTime m_nextCheckpoint {};
     MonotonicTime m_nextJudgement {};
     Verdict m_verdict = Verdict::Undecided;
