--- a/src/hornbeamgate/gateway/version_rollout.cpp
+++ b/src/hornbeamgate/gateway/version_rollout.cpp
@@ -413,8 +413,8 @@
     const auto engines = std::max<std::size_t>(1, m_oldEngines == 0 ? m_candidates.size() : std::min(m_oldEngines, m_candidates.size()));
     const auto burstPace = std::min(kMaxBurstPace, static_cast<double>(m_canaries.size()) / static_cast<double>(engines));
     const auto burstPart = burstPace <= 0 ? 1 : std::min(1.0, creditPerSend(now) / burstPace);
-    const auto time = std::chrono::duration<double>(age(now)) / std::chrono::duration<double>(m_order.duration) - kCautiousEnd;
-    return std::fmod(time, kBurstInterval) >= kBurstInterval * (1 - burstPart) ? burstPace : 0;
+    const auto burstStart = kObserveEnd - burstPart * (kObserveEnd - kCautiousEnd);
+    return isPast(burstStart, now) ? burstPace : 0;
 }
 
 void VersionRollout::recordSend(bool isCandidate, MonotonicTime now)
--- a/src/hornbeamgate/gateway/version_rollout.hpp
+++ b/src/hornbeamgate/gateway/version_rollout.hpp
@@ -226,10 +226,9 @@
     /// Part of the requests that may go to the new version in the cautious part of the observation, so that the slack is not
     /// used up at once.
     static constexpr double kCautiousPace = 0.25;
-    /// After the cautious part, the exposed requests are sent together at the end of intervals of this fraction of the
-    /// duration. The canaries then carry the load of an engine after the shift: spread evenly, the exposure would give two
-    /// canaries of ten engines a third of it, and a fault under load would not show.
-    static constexpr double kBurstInterval = 0.225;
+    /// After the cautious part, the exposed requests are sent together at the end of the observation, at no more than this
+    /// part of all requests. The canaries then carry the load of an engine after the shift: spread evenly, the exposure would
+    /// give two canaries of ten engines a third of it, and a fault under load would not show.
     static constexpr double kMaxBurstPace = 0.5;
     /// Number of tests that start during the duration; a version that turns bad later is found by those that start then.
     static constexpr int kTests = 16;
