--- a/src/hornbeamgate/gateway/version_rollout.cpp
+++ b/src/hornbeamgate/gateway/version_rollout.cpp
@@ -181,8 +181,11 @@
     for (const auto& [engine, routes] : report.candidate) {
         for (const auto& [route, sample] : routes) {
             auto& known = counts.candidate[engine];
-            if (!known.contains(route) && ++counts.samples > kMaxSamplesOfPeer)
-                return;
+            if (!known.contains(route)) {
+                if (counts.samples >= kMaxSamplesOfPeer)
+                    continue;
+                ++counts.samples;
+            }
             const auto added = advance(known[route], sample);
             m_sums.candidate[engine][route] += added;
             m_candidateTotal += added;
@@ -397,7 +400,7 @@
 
 bool VersionRollout::isShifted(MonotonicTime now) const
 {
-    return !isStopped() && shiftShare(now) >= 1;
+    return !isStopped() && !m_candidates.empty() && shiftShare(now) >= 1;
 }
 
 bool VersionRollout::takesNext(MonotonicTime now) const
@@ -997,8 +1000,9 @@
 
 std::optional<RolloutStatus> VersionRollouts::takeWrite(bool isLeader, MonotonicTime now)
 {
+    const bool isStateKnown = m_statusConfirmedAsOf != MonotonicTime::min();
     for (auto& [id, service] : m_services) {
-        if (service.status) {
+        if (service.status && isStateKnown) {
             if (auto status = takeAbandoned(service, isLeader, now))
                 return status;
         }
@@ -1011,6 +1015,8 @@
                 addEvent(RolloutEvent::Kind::Invalid, *service.rollout, {}, std::move(reason));
             }
         }
+        if (!isStateKnown)
+            continue;
         if (auto status = service.rollout->takeWrite(isLeader, oldInProgress(service), now))
             return status;
     }
--- a/src/hornbeamgate/gateway/version_rollout.hpp
+++ b/src/hornbeamgate/gateway/version_rollout.hpp
@@ -138,7 +138,7 @@
     static constexpr std::chrono::milliseconds kFreshness { 3000 };
     /// Counts of engines in one report, so that it fits into a datagram with the rest.
     static constexpr std::size_t kMaxReportedSamples = 32;
-    /// Counts of engines that are kept for each peer; with 360 peers they take 30 MB.
+    /// Counts of engines that are kept for each peer; with 360 peers they take about 30 MB.
     static constexpr std::size_t kMaxSamplesOfPeer = 512;
     /// Responses of the control group below which no median is known.
     static constexpr std::uint64_t kMinLatencies = 8;
@@ -388,8 +388,9 @@
     RolloutReport report(MonotonicTime now) const; ///< for `PeerReport`
     void recordPeerReport(const HostId& peer, Incarnation incarnation, const RolloutReport& report, MonotonicTime now);
 
-    /// Returns a state that this daemon should write now, if any. Called until it returns nothing. A state is returned again
-    /// after `VersionRollout::kWriteInterval` unless it was read from the store meanwhile.
+    /// Returns a state that this daemon should write now, if any; none before the first `statusConfirmed`. Called until it
+    /// returns nothing. A state is returned again after `VersionRollout::kWriteInterval` unless it was read from the store
+    /// meanwhile.
     std::optional<RolloutStatus> takeWrite(bool isLeader, MonotonicTime now);
 
     std::vector<RolloutEvent> takeEvents();
--- a/tests/gateway/version_rollout.test.cpp
+++ b/tests/gateway/version_rollout.test.cpp
@@ -256,6 +256,7 @@
     rollouts.setEndpoints(registry, at(0ms));
     rollouts.setOrder(order("v2", 5), std::nullopt, at(0ms));
     rollouts.operatorsConfirmed(at(0ms));
+    CHECK_FALSE(rollouts.takeWrite(true, at(0ms)));
     CHECK(rollouts.choose(kService, at(0ms)).allows(oldEngine));
     CHECK_FALSE(rollouts.choose(kService, at(0ms)).allows(newEngine));
     registry.replaceAll({ newEngine }, at(1s));
