--- a/src/hornbeamgate/gateway/version_rollout.cpp
+++ b/src/hornbeamgate/gateway/version_rollout.cpp
@@ -116,9 +116,16 @@
     const RouteSample response { 1, isBad(route, isFailure, latency) ? 1U : 0U };
     m_candidate[engine][route] += response;
     m_sums.candidate[engine][route] += response;
+    m_candidateTotal += response;
     return response.bad > 0;
 }
 
+void RolloutEvidence::addEngines(const std::set<EndpointId>& engines)
+{
+    for (const auto& engine : engines)
+        m_sums.candidate.try_emplace(engine);
+}
+
 void RolloutEvidence::recordControl(const std::string& route, bool isFailure, Duration latency)
 {
     const RouteSample response { 1, isBad(route, isFailure, latency) ? 1U : 0U };
@@ -174,9 +181,14 @@
     for (const auto& [engine, routes] : report.candidate) {
         for (const auto& [route, sample] : routes) {
             auto& known = counts.candidate[engine];
-            if (!known.contains(route) && ++counts.samples > kMaxSamplesOfPeer)
-                return;
-            m_sums.candidate[engine][route] += advance(known[route], sample);
+            if (!known.contains(route)) {
+                if (counts.samples >= kMaxSamplesOfPeer)
+                    continue;
+                ++counts.samples;
+            }
+            const auto added = advance(known[route], sample);
+            m_sums.candidate[engine][route] += added;
+            m_candidateTotal += added;
         }
     }
     for (const auto& [route, control] : report.control) {
@@ -278,6 +290,7 @@
     if (status.state == RolloutState::Running && status.phase == RolloutPhase::Shift && m_phase == RolloutPhase::Observe) {
         m_phase = RolloutPhase::Shift;
         m_shiftReadAt = now;
+        m_paceCredit = 0;
     }
 }
 
@@ -287,13 +300,15 @@
     m_largestFleet = std::max(m_largestFleet, runningDaemons);
 }
 
-void VersionRollout::setEngines(const std::set<EndpointId>& candidates, bool isServiceKnown)
+void VersionRollout::setEngines(const std::set<EndpointId>& candidates, std::size_t others)
 {
-    m_isServiceKnown = isServiceKnown || m_isServiceKnown.value_or(false);
+    m_oldEngines = others;
+    m_isServiceKnown = others > 0 || !candidates.empty() || m_isServiceKnown.value_or(false);
     m_isVersionSeen |= !candidates.empty();
     if (candidates == m_candidates)
         return;
     m_candidates = candidates;
+    m_evidence.addEngines(candidates);
     chooseCanaries();
 }
 
@@ -305,14 +320,34 @@
     const auto key = stableHash(m_order.service.value(), m_order.offset.value());
     std::vector<std::pair<std::uint64_t, EndpointId>> ranked;
     ranked.reserve(m_candidates.size());
-    for (const auto& engine : m_candidates)
-        ranked.emplace_back(rendezvousScore(engine.value(), key), engine);
+    for (const auto& engine : m_candidates) {
+        if (!m_failing.contains(engine))
+            ranked.emplace_back(rendezvousScore(engine.value(), key), engine);
+    }
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
     m_canaries.clear();
-    for (std::size_t i = 0; i < count; ++i)
+    for (std::size_t i = 0; i < std::min(count, ranked.size()); ++i)
         m_canaries.insert(ranked.at(i).second);
 }
 
+void VersionRollout::replaceFailingCanaries()
+{
+    // More engines than this don't fail by themselves.
+    const auto most = std::max<std::size_t>(1, m_candidates.size() / 4);
+    const auto& sums = m_evidence.sums();
+    std::set<EndpointId> failing;
+    for (const auto& engine : m_canaries) {
+        const auto samples = sums.candidate.find(engine);
+        if (m_candidates.size() > 1 && m_failing.size() + failing.size() < most && samples != sums.candidate.end()
+            && VersionJudge().judge({ *samples }, sums.control) == Verdict::Bad)
+            failing.insert(engine);
+    }
+    if (failing.empty())
+        return;
+    m_failing.merge(failing);
+    chooseCanaries();
+}
+
 void VersionRollout::abort(MonotonicTime now)
 {
     m_isAborted = true;
@@ -365,31 +400,42 @@
 
 bool VersionRollout::isShifted(MonotonicTime now) const
 {
-    return !isStopped() && shiftShare(now) >= 1;
+    return !isStopped() && !m_candidates.empty() && shiftShare(now) >= 1;
 }
 
 bool VersionRollout::takesNext(MonotonicTime now) const
 {
     if (isStopped() || m_candidates.empty())
         return false;
+    const bool isDue = m_paceCredit + pace(now) >= 1;
     if (m_phase == RolloutPhase::Shift)
-        return m_shiftCredit + shiftShare(now) >= 1;
+        return isDue;
     // After the latest shift, further observation can't change the outcome.
-    if (isPast(kLatestShift, now) || (m_exposed > 0 && m_sendsSinceExposed < kMinSendsBetween))
-        return false;
-    return static_cast<double>(m_exposed) + 1 <= m_credit + static_cast<double>(slackPart());
+    return isDue && !isPast(kLatestShift, now) && static_cast<double>(m_exposed) + 1 <= m_credit + static_cast<double>(slackPart());
+}
+
+double VersionRollout::pace(MonotonicTime now) const
+{
+    if (m_phase == RolloutPhase::Shift)
+        return shiftShare(now);
+    if (!isPast(kCautiousEnd, now))
+        return kCautiousPace;
+    const auto engines = std::max<std::size_t>(1, m_oldEngines == 0 ? m_candidates.size() : std::min(m_oldEngines, m_candidates.size()));
+    const auto burstPace = std::min(kMaxBurstPace, static_cast<double>(m_canaries.size()) / static_cast<double>(engines));
+    const auto burstPart = burstPace <= 0 ? 1 : std::min(1.0, creditPerSend(now) / burstPace);
+    const auto burstStart = kObserveEnd - burstPart * (kObserveEnd - kCautiousEnd);
+    return isPast(burstStart, now) ? burstPace : 0;
 }
 
 void VersionRollout::recordSend(bool isCandidate, MonotonicTime now)
 {
+    // Requests that could not go where they were due are not made up for at once.
+    constexpr double kMaxPaceCredit = 4;
     ++m_sends;
-    if (m_phase == RolloutPhase::Shift) {
-        constexpr double kMaxShiftCredit = 4;
-        m_shiftCredit = std::clamp(m_shiftCredit + shiftShare(now) - (isCandidate ? 1 : 0), -kMaxShiftCredit, kMaxShiftCredit);
+    m_paceCredit = std::clamp(m_paceCredit + pace(now) - (isCandidate ? 1 : 0), -kMaxPaceCredit, kMaxPaceCredit);
+    if (m_phase == RolloutPhase::Shift)
         return;
-    }
     m_credit = std::min(m_credit + creditPerSend(now), kObservedShare * m_limits.exposureShare * static_cast<double>(m_sends));
-    m_sendsSinceExposed = isCandidate ? 0 : m_sendsSinceExposed + 1;
     m_exposed += isCandidate ? 1 : 0;
 }
 
@@ -441,19 +487,12 @@
     return sums;
 }
 
-EngineSamples VersionRollout::withAllEngines(EngineSamples samples) const
-{
-    for (const auto& engine : m_candidates)
-        samples.try_emplace(engine);
-    return samples;
-}
-
 bool VersionRollout::hasTooManyBad(const Judgement& total) const
 {
     if (unexplainedBad(total.candidate, total.controlShare) < kMaxUnexplainedBad)
         return false;
     // One engine that fails is not the version's fault if the others show that the version is good.
-    auto others = withAllEngines(m_evidence.sums().candidate);
+    auto others = m_evidence.sums().candidate;
     const auto worst = std::max_element(others.begin(), others.end(), [](const auto& a, const auto& b) { return sumOf(a.second).bad < sumOf(b.second).bad; });
     const auto ofWorst = unexplainedBad(sumOf(worst->second), total.controlShare);
     others.erase(worst);
@@ -469,16 +508,22 @@
 Judgement VersionRollout::judgeAll() const
 {
     const VersionJudge judge;
-    auto total = judge.judgeInDetail(withAllEngines(m_evidence.sums().candidate), m_evidence.sums().control);
+    auto total = judge.judgeInDetail(m_evidence.sums().candidate, m_evidence.sums().control);
     if (total.verdict == Verdict::Bad)
         return total;
     if (hasTooManyBad(total)) {
         total.verdict = Verdict::Bad;
         return total;
     }
+    // Fewer bad responses never suffice: each adds log(0.16 / 0.01) at most.
+    constexpr std::uint64_t kMinBad = 3;
     for (const auto& start : m_checkpoints) {
-        const auto sums = since(start);
-        auto judgement = judge.judgeInDetail(withAllEngines(sums.candidate), sums.control);
+        if (m_evidence.candidateTotal().bad < start.bad + kMinBad)
+            continue;
+        auto sums = since(start.sums);
+        // Its part of the evidence would bring each of the tests close to the verdict "bad".
+        std::erase_if(sums.candidate, [this](const auto& engine) { return m_failing.contains(engine.first); });
+        auto judgement = judge.judgeInDetail(sums.candidate, sums.control);
         if (judgement.verdict == Verdict::Bad)
             return judgement;
     }
@@ -496,9 +541,14 @@
     if (now >= m_nextCheckpoint) {
         m_nextCheckpoint = now + m_order.duration / kTests;
         if (m_checkpoints.size() < kTests)
-            m_checkpoints.push_back(m_evidence.sums());
+            m_checkpoints.push_back({ m_evidence.sums(), m_evidence.candidateTotal().bad });
     }
+    if (m_evidence.candidateTotal() == m_judgedTotal)
+        return std::nullopt;
+    m_judgedTotal = m_evidence.candidateTotal();
     auto judgement = judgeAll();
+    if (judgement.verdict != Verdict::Bad)
+        replaceFailingCanaries();
     if (judgement.verdict == m_verdict)
         return std::nullopt;
     m_verdict = judgement.verdict;
@@ -512,7 +562,7 @@
 bool VersionRollout::favoursGood(MonotonicTime now) const
 {
     const auto sums = m_evidence.sumsSince(now - RolloutEvidence::kFreshness);
-    return responsesOf(sums.candidate) >= kMinResponses && VersionJudge().judge(withAllEngines(sums.candidate), sums.control) == Verdict::Good;
+    return responsesOf(sums.candidate) >= kMinResponses && VersionJudge().judge(sums.candidate, sums.control) == Verdict::Good;
 }
 
 std::string VersionRollout::invalidReason(MonotonicTime now) const
@@ -561,7 +611,7 @@
 {
     if (now < m_nextWrite)
         return std::nullopt;
-    const auto due = dueWrite(isLeader, oldInProgress, now);
+    auto due = dueWrite(isLeader, oldInProgress, now);
     if (due)
         m_nextWrite = now + kWriteInterval;
     return due;
@@ -731,8 +781,16 @@
 {
     if (!service.rollout)
         return;
-    const auto found = service.engines.find(service.rollout->order().version);
-    service.rollout->setEngines(found == service.engines.end() ? std::set<EndpointId>() : found->second, !service.engines.empty());
+    const auto& version = service.rollout->order().version;
+    std::set<EndpointId> candidates;
+    std::size_t others = 0;
+    for (const auto& [other, engines] : service.engines) {
+        if (other == version)
+            candidates = engines;
+        else if (!service.excluded.contains(other))
+            others += engines.size();
+    }
+    service.rollout->setEngines(candidates, others);
 }
 
 void VersionRollouts::setEndpoints(const EndpointRegistry& registry, MonotonicTime now)
@@ -744,7 +802,8 @@
         if (!entry.isLeaving)
             m_services[entry.service].engines[entry.version].insert(id);
     }
-    for (auto& [id, service] : m_services) {
+    for (auto& entry : m_services) {
+        auto& service = entry.second;
         std::erase_if(service.excluded, [&service](const auto& version) {
             const bool isCurrent = service.rollout && service.rollout->order().version == version;
             return !isCurrent && !service.engines.contains(version);
@@ -941,9 +1000,10 @@
 
 std::optional<RolloutStatus> VersionRollouts::takeWrite(bool isLeader, MonotonicTime now)
 {
+    const bool isStateKnown = m_statusConfirmedAsOf != MonotonicTime::min();
     for (auto& [id, service] : m_services) {
-        if (service.status) {
-            if (const auto status = takeAbandoned(service, isLeader, now))
+        if (service.status && isStateKnown) {
+            if (auto status = takeAbandoned(service, isLeader, now))
                 return status;
         }
         if (!service.rollout)
@@ -955,7 +1015,9 @@
                 addEvent(RolloutEvent::Kind::Invalid, *service.rollout, {}, std::move(reason));
             }
         }
-        if (const auto status = service.rollout->takeWrite(isLeader, oldInProgress(service), now))
+        if (!isStateKnown)
+            continue;
+        if (auto status = service.rollout->takeWrite(isLeader, oldInProgress(service), now))
             return status;
     }
     return std::nullopt;
