--- a/src/hornbeamgate/gateway/version_rollout.cpp
+++ b/src/hornbeamgate/gateway/version_rollout.cpp
@@ -549,7 +549,8 @@
     auto judgement = judgeAll();
     if (judgement.verdict != Verdict::Bad)
         replaceFailingCanaries();
-    if (judgement.verdict == m_verdict)
+    // "Good" may be undecided again; only the first change is of interest.
+    if (judgement.verdict <= m_verdict)
         return std::nullopt;
     m_verdict = judgement.verdict;
     if (m_verdict == Verdict::Bad) {
@@ -980,7 +981,10 @@
                 pending.insert_or_assign(reported.service, PendingReport { incarnation, reported });
             continue;
         }
+        const bool wasBad = found->second.rollout->isBad();
         found->second.rollout->recordPeer(peer, incarnation, reported, now);
+        if (!wasBad && found->second.rollout->isBad())
+            addEvent(RolloutEvent::Kind::Verdict, *found->second.rollout, { Verdict::Bad, {}, {}, 0 }, "reported by " + peer.value());
         judge(found->second, now);
     }
 }
--- a/src/hornbeamgate/gateway/version_rollout.hpp
+++ b/src/hornbeamgate/gateway/version_rollout.hpp
@@ -112,7 +112,7 @@
     enum class Kind {
         Ordered,
         Phase, ///< a state or phase was read from the store
-        Verdict,
+        Verdict, ///< `reason` names the peer that reported it, if any
         Invalid, ///< the order can't be carried out; `reason` says why
     };
     Kind kind = Kind::Ordered;
@@ -277,7 +277,7 @@
     bool recordResponse(const EndpointEntry& endpoint, const std::string& route, bool isFailure, Duration latency);
     void recordPeer(const HostId& peer, Incarnation incarnation, const RolloutReport::Service& report, MonotonicTime now);
     RolloutReport::Service report(std::uint64_t oldInProgress, MonotonicTime now) const;
-    /// Judges the evidence if it is due. Returns the judgement if the verdict changed.
+    /// Judges the evidence if it is due. Returns the first judgement with the verdict "good" or "bad".
     std::optional<Judgement> judge(MonotonicTime now);
     bool isBad() const { return m_isBad; }
 
@@ -338,7 +338,7 @@
     RouteSample m_judgedTotal;
     MonotonicTime m_nextCheckpoint {};
     MonotonicTime m_nextJudgement {};
-    Verdict m_verdict = Verdict::Undecided;
+    Verdict m_verdict = Verdict::Undecided; ///< last one returned
     bool m_isBad = false;
     bool m_isAborted = false;
     MonotonicTime m_stoppedAt {};
