Give up a rollout without an order only after the orders were read again

Cause: a new leader that had read the state of a rollout before its order took the order for removed and wrote "rolled back". The operators' records must now have been read by a request that was sent after the state was seen.

--- a/src/hornbeamgate/gateway/version_rollout.cpp
+++ b/src/hornbeamgate/gateway/version_rollout.cpp
@@ -670,7 +670,6 @@
     service.held.erase(order.version);
     service.isFinished = false;
     service.isInvalidLogged = false;
-    service.isOrderRemoved = false;
     auto& rollout = service.rollout.emplace(m_limits, m_self, order, isTrusted, now - age.value_or(milliseconds(0)));
     rollout.setFleet(m_fleet);
     rollout.statusConfirmed(m_statusConfirmedAsOf);
@@ -694,7 +693,6 @@
     const auto found = m_services.find(id);
     if (found == m_services.end())
         return;
-    found->second.isOrderRemoved = true;
     if (found->second.rollout && found->second.rollout->isRunning())
         found->second.rollout->abort(now);
 }
@@ -707,6 +705,8 @@
     const bool isKnownEnd = service.status && service.status->order == status.order && service.status->state != RolloutState::Running;
     if (isKnownEnd)
         return;
+    if (!service.status || service.status->order != status.order)
+        service.statusSeenAt = now;
     service.status = status;
     applyEarlierStatus(service);
     applyStatus(service, now);
@@ -991,10 +991,12 @@
 
 std::optional<RolloutStatus> VersionRollouts::takeAbandoned(Service& service, bool isLeader, MonotonicTime now)
 {
-    // The order of a running rollout was removed while no daemon that is left knew it.
+    // The order of a running rollout was removed while no daemon that is left knew it. Its record was in the store before the
+    // state, so a read of the operators' records that was sent later shows whether it is there.
     const bool isOrderUnknown = !service.rollout || service.rollout->order().offset < service.status->order;
-    const bool isAbandoned = service.status->state == RolloutState::Running && (service.isOrderRemoved || (!service.rollout && m_operatorsConfirmedAsOf));
-    if (!isLeader || !isOrderUnknown || !isAbandoned || now < service.nextAbandonedWrite)
+    const bool isConfirmed = m_operatorsConfirmedAsOf && *m_operatorsConfirmedAsOf > service.statusSeenAt;
+    const bool isAbandoned = isOrderUnknown && isConfirmed && service.status->state == RolloutState::Running;
+    if (!isLeader || !isAbandoned || now < service.nextAbandonedWrite)
         return std::nullopt;
     service.nextAbandonedWrite = now + VersionRollout::kWriteInterval;
     auto status = *service.status;
--- a/src/hornbeamgate/gateway/version_rollout.hpp
+++ b/src/hornbeamgate/gateway/version_rollout.hpp
@@ -408,6 +408,7 @@
     struct Service {
         std::optional<VersionRollout> rollout; ///< of the newest order, also after its end
         std::optional<RolloutStatus> status; ///< newest read from the store
+        MonotonicTime statusSeenAt {}; ///< when a state of its order was first read
         std::map<std::string, std::set<EndpointId>> engines; ///< listed, by version
         std::map<std::string, MonotonicTime> held; ///< when versions were first seen whose order may not be known yet
         std::set<std::string> released; ///< versions that were in use or whose order is known
@@ -417,7 +418,6 @@
         std::map<EndpointId, InProgress> inProgress;
         bool isInvalidLogged = false;
         bool isFinished = false; ///< the end of the newest order has taken effect on the versions
-        bool isOrderRemoved = false;
     };
 
     /// Returns the versions that must get no requests, apart from the one that is being rolled out.
--- a/tests/gateway/version_rollout.test.cpp
+++ b/tests/gateway/version_rollout.test.cpp
@@ -365,6 +365,9 @@
     {
         daemon.rollouts.setStatus(status(RolloutState::Running, RolloutPhase::Observe, 5), daemon.now);
         CHECK_FALSE(daemon.mayUse(daemon.newEngine));
+        // The order may not have been read yet.
+        daemon.now += 1s;
+        CHECK_FALSE(daemon.write());
     }
     daemon.pass(1s);
     CHECK_FALSE(daemon.write(false));
