--- a/src/hornbeamgate/gateway/placement.hpp
+++ b/src/hornbeamgate/gateway/placement.hpp
@@ -7,6 +7,7 @@
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
 #include "hornbeamgate/gateway/engine_speeds.hpp"
 #include "hornbeamgate/gateway/fleet_config.hpp"
+#include "hornbeamgate/gateway/version_rollout.hpp"
 
 #include <cstdint>
 #include <map>
@@ -38,6 +39,7 @@
     std::optional<Duration> objectiveLeft {};
     std::size_t daemons = 1; ///< that may be running, including this one; they share scarce capacity equally
     std::uint64_t sampleSeed = 0; ///< selects the engines that are compared for a short prompt; differs between requests
+    std::optional<VersionChoice> versions; ///< versions that the request may run on; any if not set
 };
 
 /// Location of this daemon, which determines the network cost of reaching an endpoint.
--- a/src/hornbeamgate/observability/metrics.hpp
+++ b/src/hornbeamgate/observability/metrics.hpp
@@ -27,6 +27,8 @@
     BookingsExecuted,
     BookingsReplayed,
     DirectoryCallsFailed,
+    RequestsExposed,
+    VersionResponsesBad,
     CounterCount,
 };
 
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -155,6 +155,8 @@
         placementRequest.sampleSeed = stableHash(m_metadata.requestId, static_cast<std::uint64_t>(m_sendCount));
     }
     placementRequest.cacheDomain = cacheDomain();
+    if (m_state.versionRollouts)
+        placementRequest.versions = m_state.versionRollouts->choose(m_service, now);
     if (m_metadata.model) {
         const auto& targets = m_state.weightsRollout.targets();
         const auto target = targets.find(*m_metadata.model);
@@ -218,7 +220,7 @@
     const auto now = MonotonicClock::now();
     if (refuseQuarantined(now))
         return true;
-    const auto placement = m_state.placer.choose(makePlacementRequest(now), m_state.viewFor(m_service), now);
+    const auto placement = place(now);
     const auto* endpoint = placement.endpoint ? m_state.registry.find(*placement.endpoint) : nullptr;
     // An interrupted stream is resumed without waiting for capacity, since its caller is waiting for the next event.
     if (endpoint && !placement.hasRoom && !m_hasBegunResponse)
@@ -240,6 +242,19 @@
     return true;
 }
 
+Placement GatewayRequest::place(MonotonicTime now) const
+{
+    const auto view = m_state.viewFor(m_service);
+    auto placementRequest = makePlacementRequest(now);
+    auto placement = m_state.placer.choose(placementRequest, view, now);
+    const auto& versions = placementRequest.versions;
+    if (!versions || !versions->hasFallback() || (placement.endpoint && placement.hasRoom))
+        return placement;
+    // A request that should show how a new version does neither waits for its engines nor is refused for them.
+    placementRequest.versions = versions->fallback();
+    return m_state.placer.choose(placementRequest, view, now);
+}
+
 void GatewayRequest::awaitAdmission(const Placement& placement)
 {
     if (!m_admissionWait)
@@ -354,6 +369,12 @@
     m_expectedWait = placement.expectedWait;
     m_state.advisories.recordSend(instanceOf(endpoint), now);
     recordPaceSend(placement, now);
+    m_firstEventAt.reset();
+    if (m_state.versionRollouts) {
+        m_judgedEndpoint = endpoint;
+        m_isResponseJudged = false;
+        m_state.versionRollouts->recordSend(endpoint, now);
+    }
     const auto metadata = forwardMetadata(endpoint, placement, now);
     m_requiredWeights = metadata.requiredWeights;
     if (placement.blocks)
@@ -576,6 +597,7 @@
 {
     m_hasFirstEvent = true;
     recordPaceAnswer(now);
+    m_firstEventAt = now;
     logQuarantineChanges(m_state.quarantine.runAnswered(m_sharedParts, now));
     m_state.quarantine.engineAnswered(m_engine, m_sentAt, now);
 }
@@ -623,6 +645,7 @@
         forwardResponse();
         return;
     }
+    recordVersionResponse(status >= kServerErrors);
     endSend(SendOutcome::Failed);
     m_mayHaveExecuted = true;
     if (m_route->isRetryable() && tryAcquireRetry()) {
@@ -733,6 +756,8 @@
         return;
     logEvent(LogEvent::RunFailed, { { "request", m_metadata.requestId }, { "endpoint", m_endpoint.value() }, { "reason", "overdue" } });
     m_mayHaveExecuted = true;
+    // The time so far is judged in place of the latency, which is at least as long.
+    recordVersionResponse(false);
     endSend(SendOutcome::Failed);
     m_state.metrics.add(Counter::RunsRetried);
     resend("overdue");
@@ -742,6 +767,7 @@
 {
     if (m_isSending) {
         m_mayHaveExecuted = true;
+        recordVersionResponse(false);
         endSend(SendOutcome::Failed);
     }
     if (m_mayHaveExecuted)
@@ -781,6 +807,26 @@
     recordPaceEnd(outcome, now);
     if (outcome == SendOutcome::Failed)
         startPaceIfFailing(now);
+    recordForRollout(outcome);
+}
+
+void GatewayRequest::recordForRollout(SendOutcome outcome)
+{
+    if (!m_judgedEndpoint)
+        return;
+    if (outcome == SendOutcome::Served || outcome == SendOutcome::Failed)
+        recordVersionResponse(outcome == SendOutcome::Failed);
+    m_state.versionRollouts->recordEnd(*m_judgedEndpoint);
+    m_judgedEndpoint.reset();
+}
+
+void GatewayRequest::recordVersionResponse(bool isFailure)
+{
+    if (!m_judgedEndpoint || std::exchange(m_isResponseJudged, true))
+        return;
+    const auto now = MonotonicClock::now();
+    const auto latency = m_route->isStreaming ? m_firstEventAt.value_or(now) - m_sentAt : now - m_sentAt;
+    m_state.versionRollouts->recordResponse(*m_judgedEndpoint, m_route->name, isFailure, latency, now);
 }
 
 void GatewayRequest::refuse(const Refusal& refusal)
--- a/src/hornbeamgate/runtime/gateway/gateway_state.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_state.hpp
@@ -10,6 +10,7 @@
 #include "hornbeamgate/gateway/prompt_quarantine.hpp"
 #include "hornbeamgate/gateway/route_table.hpp"
 #include "hornbeamgate/gateway/service_retry_budget.hpp"
+#include "hornbeamgate/gateway/version_rollout.hpp"
 #include "hornbeamgate/gateway/weights_rollout.hpp"
 #include "hornbeamgate/gateway/workspace_rate_limiter.hpp"
 #include "hornbeamgate/observability/metrics.hpp"
@@ -19,6 +20,7 @@
 #include "hornbeamgate/settings/gateway_settings.hpp"
 
 #include <memory>
+#include <optional>
 
 namespace hornbeamgate::gateway {
 
@@ -36,6 +38,8 @@
         , placer(DaemonLocation { configured.common.dataCenter, configured.common.region, configured.regions })
         , weightsRollout(configured.common.host, configured.leaderLease, configured.weightsBound)
     {
+        if (configured.versionRollouts)
+            versionRollouts.emplace(*configured.versionRollouts, configured.common.host);
     }
 
     /// Returns the retry allowance of a service.
@@ -94,6 +98,7 @@
     WorkspaceRateLimiter rates;
     PeerTable peers;
     WeightsRollout weightsRollout;
+    std::optional<VersionRollouts> versionRollouts; ///< none if version rollouts are off
     std::map<ServiceId, ServiceRetryBudget> retryBudgets;
     HttpConnectionPool endpointConnections;
     Metrics metrics;
