--- a/tests/end_to_end/child_process.cpp
+++ b/tests/end_to_end/child_process.cpp
@@ -102,6 +102,12 @@
     return g_subprocess_get_identifier(m_process.get()) != nullptr;
 }
 
+std::string ChildProcess::identifier() const
+{
+    const char* text = g_subprocess_get_identifier(m_process.get());
+    return text ? text : "";
+}
+
 std::optional<int> ChildProcess::waitForExit()
 {
     if (!waitFor([&] { return !running(); }))
--- a/tests/end_to_end/child_process.hpp
+++ b/tests/end_to_end/child_process.hpp
@@ -61,6 +61,8 @@
     void signal(int number);
     void kill();
     bool running() const;
+    /// Process id as text; empty after the process has ended.
+    std::string identifier() const;
 
     /// Waits for the end and returns the exit code, or nothing when a signal ended the process or it did not end.
     std::optional<int> waitForExit();
