--- a/src/hornbeamgate/gateway/event_relay.hpp
+++ b/src/hornbeamgate/gateway/event_relay.hpp
@@ -33,7 +33,9 @@
     std::string takeRemainder();
 
     /// Starts another run that resumes after the last complete event.
-    void startRun() { m_partial.clear(); }
+    void startRun() { std::string().swap(m_partial); }
+
+    std::size_t heldBytes() const { return m_partial.capacity(); }
 
     std::optional<std::uint64_t> lastId() const { return m_lastId; }
 
--- a/src/hornbeamgate/observability/log.cpp
+++ b/src/hornbeamgate/observability/log.cpp
@@ -36,6 +36,8 @@
         EventEntry { LogEvent::RequestPlaced, "request_placed", LogLevel::Info },
         EventEntry { LogEvent::RequestResent, "request_resent", LogLevel::Info },
         EventEntry { LogEvent::ResponseCutOff, "response_cut_off", LogLevel::Warning },
+        EventEntry { LogEvent::ConnectionRefused, "connection_refused", LogLevel::Info },
+        EventEntry { LogEvent::ConnectionClosedForMemory, "connection_closed_for_memory", LogLevel::Warning },
         EventEntry { LogEvent::QuarantineChanged, "quarantine_changed", LogLevel::Warning },
         EventEntry { LogEvent::RunFinished, "run_finished", LogLevel::Debug },
         EventEntry { LogEvent::RunFailed, "run_failed", LogLevel::Warning },
--- a/src/hornbeamgate/observability/log.hpp
+++ b/src/hornbeamgate/observability/log.hpp
@@ -23,6 +23,8 @@
     RequestPlaced,
     RequestResent,
     ResponseCutOff,
+    ConnectionRefused,
+    ConnectionClosedForMemory,
     QuarantineChanged,
     RunFinished,
     RunFailed,
--- a/src/hornbeamgate/observability/metrics.cpp
+++ b/src/hornbeamgate/observability/metrics.cpp
@@ -24,6 +24,8 @@
         "hornbeamgate_requests_quarantined_total",
         "hornbeamgate_requests_at_limit_total",
         "hornbeamgate_responses_cut_off_total",
+        "hornbeamgate_connections_refused_total",
+        "hornbeamgate_connections_closed_for_memory_total",
         "hornbeamgate_stream_pieces_total",
         "hornbeamgate_runs_resumed_total",
         "hornbeamgate_runs_retried_total",
--- a/src/hornbeamgate/observability/metrics.hpp
+++ b/src/hornbeamgate/observability/metrics.hpp
@@ -17,6 +17,8 @@
     RequestsQuarantined,
     RequestsAtLimit,
     ResponsesCutOff,
+    ConnectionsRefused,
+    ConnectionsClosedForMemory,
     StreamPieces,
     RunsResumed,
     RunsRetried,
--- a/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_daemon.cpp
@@ -4,6 +4,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <malloc.h>
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <csignal>
 
 namespace hornbeamgate::gateway {
@@ -21,6 +25,9 @@
     constexpr milliseconds kDrainCheckInterval { 50 };
     /// Maximum time to wait for the store when the registration is removed at shutdown.
     constexpr milliseconds kDeregistrationTimeout { 300 };
+    /// Connections at the admin address, and as many at the readiness address; well below the descriptors kept for files.
+    constexpr std::size_t kMaxLocalConnections = 50;
+    constexpr int kLargeBuffer = 131072;
     /// Poll interval for the settings file, which may change without a SIGHUP.
     constexpr milliseconds kSettingsInterval { 2000 };
 
@@ -47,13 +54,28 @@
 {
 }
 
+void GatewayDaemon::limitDescriptors()
+{
+    rlimit limit {};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= m_settings.machine.fileDescriptors)
+        return;
+    auto& machine = m_settings.machine;
+    machine.fileDescriptors = std::max<std::size_t>(limit.rlim_cur, MachineLimits::kMinFileDescriptors);
+    machine.maxCallerConnections = std::min(machine.maxCallerConnections, MachineLimits::callerShare(machine.fileDescriptors));
+}
+
 Result<void, NetError> GatewayDaemon::listen()
 {
+    limitDescriptors();
+    // Large buffers come from the system one by one, and their memory goes back to it when they are freed. By default the
+    // threshold grows with the buffers that are freed, and their memory stays with the process.
+    mallopt(M_MMAP_THRESHOLD, kLargeBuffer);
     auto callers = HttpAcceptor::create(m_settings.callers,
         { [this](HttpServerConnection& connection, HttpRequestMessage message) -> std::unique_ptr<HttpRequestHandler> {
              return std::make_unique<GatewayRequest>(m_state, connection, std::move(message));
          },
-            [this] { return callerLimits(); }, [this] { return m_state.isDraining; } });
+            [this] { return callerLimits(); }, [this] { return m_state.isDraining; }, &m_state.memory,
+            [this](const HttpRequestHead& head) { return refusalFields(head); }, [this] { return m_settings.machine.maxCallerConnections; } });
     if (!callers)
         return failure(callers.error());
     m_callers = std::move(*callers);
@@ -62,11 +84,11 @@
                                                                          return { kNotFound, {}, {} };
                                                                      return { isReady() ? kOk : kUnavailable, {}, {} };
                                                                  }),
-                                                                    {}, {} });
+                                                                    {}, {}, &m_state.memory, {}, [] { return kMaxLocalConnections; } });
     if (!readiness)
         return failure(readiness.error());
     m_readiness = std::move(*readiness);
-    auto admin = HttpAcceptor::create(m_settings.common.admin, { respondImmediately([this](const HttpRequestMessage& message) { return adminAnswer(message); }), {}, {} });
+    auto admin = HttpAcceptor::create(m_settings.common.admin, { respondImmediately([this](const HttpRequestMessage& message) { return adminAnswer(message); }), {}, {}, &m_state.memory, {}, [] { return kMaxLocalConnections; } });
     if (!admin)
         return failure(admin.error());
     m_admin = std::move(*admin);
@@ -99,6 +121,12 @@
     return !m_state.isDraining && m_directory.isComplete();
 }
 
+HttpFields GatewayDaemon::refusalFields(const HttpRequestHead& head) const
+{
+    const auto metadata = m_adapters.wire->decodeRequest(head);
+    return m_adapters.wire->encodeRefusal(metadata ? metadata->requestId : std::string(), MemoryAccount::kStallTime);
+}
+
 HttpServerLimits GatewayDaemon::callerLimits() const
 {
     if (!m_state.routes)
@@ -174,6 +202,8 @@
     settings->callers = m_settings.callers;
     settings->readiness = m_settings.readiness;
     m_settings = std::move(*settings);
+    limitDescriptors();
+    m_state.memory.setLimit(m_settings.machine.peerBytes());
     m_settingsText = *text;
     m_state.retryBudgets.clear();
     logEvent(LogEvent::SettingsReloaded, { { "outcome", "applied" } });
--- a/src/hornbeamgate/runtime/gateway/gateway_daemon.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_daemon.hpp
@@ -36,7 +36,10 @@
     void reloadSettings();
     void watchSettings();
     bool isReady() const;
+    /// Lowers the configured descriptors to those that the process may open.
+    void limitDescriptors();
     HttpServerLimits callerLimits() const;
+    HttpFields refusalFields(const HttpRequestHead& head) const;
     HttpSimpleResponse adminAnswer(const HttpRequestMessage& message) const;
     std::string dump() const;
 
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -36,6 +36,11 @@
     /// Unsent bytes buffered for a slow caller before reading from the endpoint is paused.
     constexpr std::size_t kMaxUnsentBytes = 262144;
     constexpr milliseconds kCallerCheckInterval { 50 };
+    /// Bytes of a response that may be held while the memory for peers is used up and that cannot be passed on yet. Responses
+    /// that grow beyond are passed on early or, where that is impossible, given up.
+    constexpr std::size_t kMaxHeldWithoutMemory = 32768;
+    /// Memory of a request without its texts: its objects, callbacks and timers, and those of its exchange.
+    constexpr std::size_t kRequestBytes = 8192;
     /// Minimum retry time for refused callers; addRetryJitter() adds jitter so that they do not all return at once.
     constexpr milliseconds kMinRetryAfter { 100 };
     constexpr milliseconds kDefaultRetryAfter { 400 };
@@ -65,6 +70,7 @@
     : m_state(state)
     , m_caller(caller)
     , m_message(std::move(message))
+    , m_body(std::make_shared<const std::string>(std::exchange(m_message.body, {})))
     , m_deadlineTimer([this] { onDeadline(); })
     , m_overdueTimer([this] { onOverdue(); })
     , m_callerTimer([this] { resumeReadingIfDrained(); })
@@ -336,14 +342,15 @@
 
     ExchangeRequest request;
     request.peer = endpoint.address;
-    request.text = requestText(m_state.wire.encodeForEndpoint(m_message.head, metadata), m_message.body);
+    request.text = requestHeadText(m_state.wire.encodeForEndpoint(m_message.head, metadata), m_body->size());
+    request.sharedBody = m_body;
     request.isHeadRequest = m_message.head.method == "HEAD";
     request.connectDeadline = std::min(now + kConnectTimeout, m_deadline);
     request.excludedConnections = m_usedConnections;
     request.isMatchingResponse = [this](const HttpResponseHead& head) { return m_state.wire.decodeResponse(head).requestId == m_metadata.requestId; };
     m_exchange = std::make_unique<HttpExchange>(m_state.endpointConnections, std::move(request),
         HttpExchange::Handlers { [this](HttpResponseHead head) { onHead(std::move(head)); }, [this](std::string_view bytes) { onBody(bytes); },
-            [this] { onComplete(); }, [this](ExchangeFailure failure, const std::string& reason) { onFailed(failure, reason); } });
+            [this] { onComplete(); }, [this](ExchangeFailure failure, const std::string& reason) { onFailed(failure, reason); }, [this] { m_caller.updateMemory(); } });
     if (const auto connection = m_exchange->connection())
         m_usedConnections.push_back(*connection);
     if (m_sendCount > 1 || m_connectFailures > 0)
@@ -433,7 +440,8 @@
         return;
     }
     m_responseBody += bytes;
-    if (m_responseBody.size() <= kMaxBufferedResponse)
+    m_caller.updateMemory();
+    if (m_responseBody.size() <= (m_caller.isMemoryNearlyUsed() ? kMaxHeldWithoutMemory : kMaxBufferedResponse))
         return;
     const bool isSuccess = m_responseMetadata.isSigned && m_responseHead->status / kStatusClass == kSuccessClass;
     if (!isSuccess || m_hasBegunResponse) {
@@ -449,11 +457,17 @@
 void GatewayRequest::relayEvents(std::string_view bytes)
 {
     const auto events = m_relay.feed(bytes);
+    m_caller.updateMemory();
     if (!events) {
         endSend(SendOutcome::Failed);
         onPossiblyExecuted("an event is missing or too large");
         return;
     }
+    if (m_relay.heldBytes() > kMaxHeldWithoutMemory && m_caller.isMemoryExceeded()) {
+        endSend(SendOutcome::Failed);
+        onPossiblyExecuted("too little memory for an event");
+        return;
+    }
     if (events->empty())
         return;
     m_overdueTimer.clear();
@@ -472,9 +486,21 @@
     pauseReadingIfBacklogged();
 }
 
+std::size_t GatewayRequest::maxUnsentBytes() const
+{
+    return m_caller.isMemoryNearlyUsed() ? 0 : kMaxUnsentBytes;
+}
+
+std::size_t GatewayRequest::heldBytes() const
+{
+    const std::size_t prompt = m_metadata.prompt.capacity() * sizeof(m_metadata.prompt.front()) + m_sharedParts.capacity() * sizeof(PartKey);
+    const std::size_t response = m_responseBody.capacity() + m_relay.heldBytes() + (m_responseHead ? m_responseHead->fields.heldBytes() : 0);
+    return kRequestBytes + m_message.head.heldBytes() + (m_body ? m_body->capacity() : 0) + prompt + response + (m_exchange ? m_exchange->heldBytes() : 0);
+}
+
 void GatewayRequest::pauseReadingIfBacklogged()
 {
-    if (m_caller.unsent() <= kMaxUnsentBytes)
+    if (m_caller.unsent() <= maxUnsentBytes())
         return;
     m_exchange->pauseReading(true);
     m_callerTimer.set(MonotonicClock::now() + kCallerCheckInterval);
@@ -482,7 +508,8 @@
 
 void GatewayRequest::resumeReadingIfDrained()
 {
-    if (m_caller.unsent() > kMaxUnsentBytes) {
+    m_caller.updateMemory();
+    if (m_caller.unsent() > maxUnsentBytes()) {
         m_callerTimer.set(MonotonicClock::now() + kCallerCheckInterval);
         return;
     }
@@ -734,8 +761,11 @@
     m_overdueTimer.clear();
     m_callerTimer.clear();
     // The request lives on until its response is sent, which a slow caller may delay.
-    std::string().swap(m_message.body);
+    m_body.reset();
     std::string().swap(m_responseBody);
+    m_responseHead.reset();
+    m_relay.startRun();
+    m_message.head.fields = {};
     const auto now = MonotonicClock::now();
     m_finishedAt = now;
     m_state.metrics.observe(Latency::RequestDuration, now - m_message.headArrived);
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -18,6 +18,7 @@
 
     void start() override;
     void clientDisconnected() override;
+    std::size_t heldBytes() const override;
     void responseSent() override;
     void responseCutOff(std::size_t unsent, std::string_view reason) override;
 
@@ -74,6 +75,8 @@
     void recordAnswer(MonotonicTime now);
     void onDeadline();
     void onOverdue();
+    /// Unsent bytes above which reading from the endpoint is paused.
+    std::size_t maxUnsentBytes() const;
     void pauseReadingIfBacklogged();
     void resumeReadingIfDrained();
 
@@ -97,7 +100,8 @@
 
     GatewayState& m_state;
     HttpServerConnection& m_caller;
-    HttpRequestMessage m_message;
+    HttpRequestMessage m_message; ///< without its body
+    std::shared_ptr<const std::string> m_body; ///< shared with the connection to the endpoint
     std::shared_ptr<const RouteTable> m_routes; ///< configuration in effect when the request arrived
     RequestMetadata m_metadata;
     const RouteRule* m_route = nullptr;
--- a/src/hornbeamgate/runtime/gateway/gateway_state.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_state.hpp
@@ -15,20 +15,44 @@
 #include "hornbeamgate/runtime/gateway/prompt_queue_dispatcher.hpp"
 #include "hornbeamgate/runtime/gateway/wire_format.hpp"
 #include "hornbeamgate/runtime/net/http_connection_pool.hpp"
+#include "hornbeamgate/runtime/net/memory_account.hpp"
 #include "hornbeamgate/settings/gateway_settings.hpp"
 
 #include <memory>
+#include <utility>
 
 namespace hornbeamgate::gateway {
 
 /// Contract under which callers compete for capacity.
 inline constexpr const char* kOverloadContract = "pressure";
 
+/// Bounds the lines of an event that a crowd of clients can cause at will, so that they leave room for other lines.
+class RepeatedEvent {
+public:
+    /// Returns how many events the line for this one stands for, or 0 if no line is due.
+    std::uint64_t record(MonotonicTime now)
+    {
+        ++m_unlogged;
+        if (now < m_nextLine)
+            return 0;
+        m_nextLine = now + kLineInterval;
+        return std::exchange(m_unlogged, 0);
+    }
+
+private:
+    /// Ten lines a second of the 200 that a process may write.
+    static constexpr std::chrono::milliseconds kLineInterval { 100 };
+
+    std::uint64_t m_unlogged = 0;
+    MonotonicTime m_nextLine {};
+};
+
 /// State shared by the tasks of a gateway daemon. All tasks run on the same main loop.
 struct GatewayState {
     GatewayState(const GatewaySettings& configured, const WireFormat& format)
         : settings(configured)
         , wire(format)
+        , memory(configured.machine.peerBytes(), { [this](std::string_view reason) { onRefused(reason); }, [this](std::size_t bytes, Duration stalled) { onClosedForMemory(bytes, stalled); } })
         , overload(configured.contracts.contains(kOverloadContract))
         , advisories(configured.common.host)
         , placer(DaemonLocation { configured.common.dataCenter, configured.common.region, configured.regions })
@@ -42,6 +66,9 @@
         return retryBudgets.try_emplace(service, settings.retries).first->second;
     }
 
+    void onRefused(std::string_view reason);
+    void onClosedForMemory(std::size_t bytes, Duration stalled);
+
     /// Returns the requests of a service that wait for capacity.
     PromptQueueDispatcher& queueOf(const ServiceId& service) { return waiting.try_emplace(service).first->second; }
 
@@ -53,6 +80,7 @@
 
     const GatewaySettings& settings;
     const WireFormat& wire;
+    MemoryAccount memory; ///< of all that the process holds for callers, other gateways and administrators
     std::shared_ptr<const RouteTable> routes; ///< null until the first configuration is received; shared with requests in progress
     std::optional<MonotonicTime> configConfirmedAt; ///< last time the store reported all operators' records
     EndpointRegistry registry;
@@ -70,6 +98,8 @@
     HttpConnectionPool endpointConnections;
     Metrics metrics;
     std::uint64_t sendCount = 0; ///< number of sends so far; identifies each send
+    std::map<std::string_view, RepeatedEvent> refusals; ///< by reason
+    RepeatedEvent closedForMemory;
     bool isDraining = false;
     bool isClosing = false; ///< draining has progressed so far that a new request could not finish
 };
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -24,6 +24,8 @@
     /// Number of reports that include each observation, since individual reports may be lost.
     constexpr int kReportsPerObservation = 3;
     constexpr milliseconds kFetchTimeout { 1000 };
+    /// Half of the quarter of the descriptors that is kept for engines, other gateways and the store.
+    constexpr std::size_t kPeerDescriptorParts = 8;
     constexpr std::string_view kRecordsPath = "/records/";
     constexpr int kNotFound = 404;
     constexpr int kOk = 200;
@@ -44,7 +46,7 @@
 {
     auto task = std::unique_ptr<PeerTask>(new PeerTask(state, directory, self));
     auto* raw = task.get();
-    auto acceptor = HttpAcceptor::create(self.peers, { respondImmediately([raw](const HttpRequestMessage& message) { return raw->answer(message); }), {}, {} });
+    auto acceptor = HttpAcceptor::create(self.peers, { respondImmediately([raw](const HttpRequestMessage& message) { return raw->answer(message); }), {}, {}, &state.memory, {}, [&state] { return state.settings.machine.fileDescriptors / kPeerDescriptorParts; } });
     if (!acceptor)
         return failure(acceptor.error());
     task->m_acceptor = std::move(*acceptor);
--- a/src/hornbeamgate/runtime/net/http_acceptor.cpp
+++ b/src/hornbeamgate/runtime/net/http_acceptor.cpp
@@ -1,11 +1,17 @@
 #include "hornbeamgate/runtime/net/http_acceptor.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace hornbeamgate::gateway {
 
 namespace {
 
+    /// Bounds the cost of searches while no connection may be closed.
+    constexpr std::chrono::milliseconds kSearchInterval { 50 };
+    /// Sent at once when a connection is accepted that there is no room for. Nothing was read, so nothing has run.
+    constexpr std::string_view kConnectionRefusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
     class ImmediateResponseHandler : public HttpRequestHandler {
     public:
         ImmediateResponseHandler(HttpServerConnection& connection, HttpSimpleResponse answer)
@@ -46,22 +52,63 @@
     m_host.accept = std::move(service.accept);
     m_host.limits = service.limits ? std::move(service.limits) : [] { return HttpServerLimits {}; };
     m_host.isClosing = service.isClosing ? std::move(service.isClosing) : [] { return false; };
+    m_host.memory = service.memory;
+    m_host.refusalFields = std::move(service.refusalFields);
+    m_maxConnections = std::move(service.maxConnections);
     m_host.ended = [this](HttpServerConnection& connection) {
         // This runs inside a callback of the connection, so its destruction is deferred until the callback has returned.
+        ++m_endedConnections;
         post([this, ended = &connection, alive = m_liveness.watch()] {
-            if (!alive.expired())
-                m_connections.erase(ended);
+            if (alive.expired())
+                return;
+            --m_endedConnections;
+            m_connections.erase(ended);
         });
     };
 }
 
 void HttpAcceptor::add(std::unique_ptr<TcpStream> stream)
 {
+    if (m_maxConnections && m_connections.size() - m_endedConnections >= m_maxConnections() && !makeRoom()) {
+        refuse(*stream);
+        return;
+    }
     auto connection = std::make_unique<HttpServerConnection>(std::move(stream), m_host);
     const auto* key = connection.get();
     m_connections.emplace(key, std::move(connection));
 }
 
+bool HttpAcceptor::makeRoom()
+{
+    const auto now = MonotonicClock::now();
+    if (now < m_nextSearch)
+        return false;
+    // Connections without an accepted request come first, then those whose clients read nothing of their responses.
+    HttpServerConnection* chosen = nullptr;
+    std::pair<bool, MonotonicTime> chosenRank { true, now };
+    for (const auto& [key, connection] : m_connections) {
+        const auto since = connection->stalledSince();
+        const std::pair rank { connection->isAccepted(), since.value_or(now) };
+        if (!since || now - *since < MemoryAccount::kStallTime || rank > chosenRank)
+            continue;
+        chosen = connection.get();
+        chosenRank = rank;
+    }
+    if (!chosen) {
+        m_nextSearch = now + kSearchInterval;
+        return false;
+    }
+    chosen->release("too many connections");
+    return true;
+}
+
+void HttpAcceptor::refuse(TcpStream& stream) const
+{
+    stream.send(kConnectionRefusal);
+    if (m_host.memory && m_host.memory->observer().refused)
+        m_host.memory->observer().refused("connections");
+}
+
 std::size_t HttpAcceptor::busyConnections() const
 {
     return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto& entry) { return entry.second->hasRequest(); }));
--- a/src/hornbeamgate/runtime/net/http_acceptor.hpp
+++ b/src/hornbeamgate/runtime/net/http_acceptor.hpp
@@ -10,11 +10,15 @@
 /// Listens on one address and owns the connections accepted there.
 class HttpAcceptor {
 public:
-    /// Callbacks shared by all connections of the acceptor. `limits` and `isClosing` are optional.
+    /// Callbacks shared by all connections of the acceptor. All but `accept` are optional.
     struct Service {
         HttpServerConnection::Accept accept;
         std::function<HttpServerLimits()> limits;
         std::function<bool()> isClosing;
+        MemoryAccount* memory = nullptr;
+        std::function<HttpFields(const HttpRequestHead&)> refusalFields {};
+        /// Number of connections above which one without progress is closed for each new one, or the new one is refused.
+        std::function<std::size_t()> maxConnections {};
     };
 
     static Result<std::unique_ptr<HttpAcceptor>, NetError> create(const SocketAddress& address, Service service);
@@ -30,8 +34,14 @@
 private:
     explicit HttpAcceptor(Service service);
     void add(std::unique_ptr<TcpStream> stream);
+    /// Makes room for one more connection. Returns false if every connection has a request or makes progress.
+    bool makeRoom();
+    void refuse(TcpStream& stream) const;
 
     HttpServerConnection::Host m_host;
+    std::function<std::size_t()> m_maxConnections;
+    std::size_t m_endedConnections = 0; ///< that wait for their destruction
+    MonotonicTime m_nextSearch {}; ///< a search without a connection that could be closed is not repeated before
     std::unique_ptr<TcpListener> m_listener;
     std::unordered_map<const HttpServerConnection*, std::unique_ptr<HttpServerConnection>> m_connections;
     Liveness m_liveness;
--- a/src/hornbeamgate/runtime/net/http_exchange.cpp
+++ b/src/hornbeamgate/runtime/net/http_exchange.cpp
@@ -78,8 +78,11 @@
 void HttpExchange::send()
 {
     m_isSent = true;
-    m_stream->send(m_request.text);
-    m_request.text = {};
+    if (m_request.sharedBody)
+        m_stream->send(m_request.text, std::move(m_request.sharedBody));
+    else
+        m_stream->send(m_request.text);
+    std::string().swap(m_request.text);
 }
 
 void HttpExchange::pauseReading(bool paused)
@@ -103,7 +106,15 @@
         octets.remove_prefix(*taken);
     }
     m_hasTrailingOctets = !octets.empty();
-    deliver();
+    if (!m_events.empty())
+        deliver();
+    else if (const auto handlers = m_handlers; handlers->received)
+        handlers->received();
+}
+
+std::size_t HttpExchange::heldBytes() const
+{
+    return m_request.text.capacity() + m_parser->heldBytes() + (m_stream ? m_stream->heldBytes() : 0);
 }
 
 void HttpExchange::onEnded(StreamEnd how, const std::string& reason)
--- a/src/hornbeamgate/runtime/net/http_exchange.hpp
+++ b/src/hornbeamgate/runtime/net/http_exchange.hpp
@@ -21,7 +21,8 @@
 /// Request of one exchange.
 struct ExchangeRequest {
     SocketAddress peer;
-    std::string text; ///< serialized head and body
+    std::string text; ///< serialized head, and the body unless it is shared
+    std::shared_ptr<const std::string> sharedBody; ///< optional; follows `text`, and is not copied
     bool isHeadRequest = false;
     MonotonicTime connectDeadline {};
     std::size_t maxBodyBytes = SIZE_MAX; ///< a larger response body is a failure
@@ -43,6 +44,7 @@
         std::function<void(std::string_view)> body;
         std::function<void()> complete;
         std::function<void(ExchangeFailure, const std::string& reason)> failed;
+        std::function<void()> received {}; ///< optional; something was read that has led to no other callback
     };
 
     HttpExchange(HttpConnectionPool& pool, ExchangeRequest request, Handlers handlers);
@@ -50,6 +52,8 @@
     HttpExchange& operator=(const HttpExchange&) = delete;
 
     void pauseReading(bool paused);
+    /// Memory of the unsent request without its shared body, and of the unfinished head of the response.
+    std::size_t heldBytes() const;
 
     /// Whether the request was sent over a pooled connection.
     bool isReused() const { return m_isReused; }
--- a/src/hornbeamgate/runtime/net/http_message.cpp
+++ b/src/hornbeamgate/runtime/net/http_message.cpp
@@ -18,6 +18,13 @@
         return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
     }
 
+    std::string lowerCase(std::string_view text)
+    {
+        std::string result(text);
+        std::transform(result.begin(), result.end(), result.begin(), lower);
+        return result;
+    }
+
     std::string_view trimmed(std::string_view text)
     {
         while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
@@ -40,12 +47,13 @@
 
     void appendFields(std::string& text, const HttpFields& fields)
     {
-        for (const auto& field : fields.all()) {
+        fields.visit([&text](const HttpField& field) {
             text += field.name;
             text += ": ";
             text += field.value;
             text += "\r\n";
-        }
+            return true;
+        });
     }
 
 } // namespace
@@ -55,75 +63,112 @@
     return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) { return lower(a) == lower(b); });
 }
 
+void HttpFields::add(std::string_view name, std::string_view value)
+{
+    m_text.reserve(m_text.size() + name.size() + value.size() + 2);
+    m_text += name;
+    m_text += ':';
+    m_text += value;
+    m_text += '\n';
+}
+
 void HttpFields::remove(std::string_view name)
 {
-    std::erase_if(m_fields, [name](const HttpField& field) { return equalsIgnoringCase(field.name, name); });
+    if (!find(name))
+        return;
+    HttpFields kept;
+    visit([&](const HttpField& field) {
+        if (!equalsIgnoringCase(field.name, name))
+            kept.add(field.name, field.value);
+        return true;
+    });
+    *this = std::move(kept);
 }
 
 std::optional<std::string_view> HttpFields::find(std::string_view name) const
 {
-    for (const auto& field : m_fields) {
+    std::optional<std::string_view> value;
+    visit([&](const HttpField& field) {
         if (equalsIgnoringCase(field.name, name))
-            return field.value;
-    }
-    return std::nullopt;
+            value = field.value;
+        return !value;
+    });
+    return value;
 }
 
 std::vector<std::string_view> HttpFields::findAll(std::string_view name) const
 {
     std::vector<std::string_view> values;
-    for (const auto& field : m_fields) {
+    visit([&](const HttpField& field) {
         if (equalsIgnoringCase(field.name, name))
-            values.emplace_back(field.value);
-    }
+            values.push_back(field.value);
+        return true;
+    });
     return values;
 }
 
 std::size_t HttpFields::count(std::string_view name) const
 {
-    return static_cast<std::size_t>(std::count_if(m_fields.begin(), m_fields.end(),
-        [name](const HttpField& field) { return equalsIgnoringCase(field.name, name); }));
+    return findAll(name).size();
+}
+
+std::vector<HttpField> HttpFields::all() const
+{
+    std::vector<HttpField> fields;
+    visit([&](const HttpField& field) {
+        fields.push_back(field);
+        return true;
+    });
+    return fields;
 }
 
 bool HttpFields::listContains(std::string_view name, std::string_view token) const
 {
-    for (const auto& field : m_fields) {
+    bool isFound = false;
+    visit([&](const HttpField& field) {
         if (!equalsIgnoringCase(field.name, name))
-            continue;
-        for (const auto& item : listItems(field.value)) {
-            if (equalsIgnoringCase(item, token))
-                return true;
-        }
-    }
-    return false;
+            return true;
+        const auto items = listItems(field.value);
+        isFound = std::any_of(items.begin(), items.end(), [token](std::string_view item) { return equalsIgnoringCase(item, token); });
+        return !isFound;
+    });
+    return isFound;
 }
 
 void removeHopByHopFields(HttpFields& fields)
 {
     std::vector<std::string> listed;
-    for (const auto& field : fields.all()) {
-        if (equalsIgnoringCase(field.name, "Connection")) {
-            for (auto& item : listItems(field.value))
-                listed.push_back(std::move(item));
-        }
+    for (const auto value : fields.findAll("Connection")) {
+        for (const auto& item : listItems(value))
+            listed.push_back(lowerCase(item));
     }
-    for (const auto& name : listed)
-        fields.remove(name);
-    for (const auto name : kHopByHopFields)
-        fields.remove(name);
+    // One pass over the fields: a pass for each listed name took time in proportion to the square of the head.
+    std::sort(listed.begin(), listed.end());
+    HttpFields kept;
+    fields.visit([&](const HttpField& field) {
+        const bool isHopByHop = std::any_of(kHopByHopFields.begin(), kHopByHopFields.end(), [&](std::string_view name) { return equalsIgnoringCase(field.name, name); });
+        if (!isHopByHop && !std::binary_search(listed.begin(), listed.end(), lowerCase(field.name)))
+            kept.add(field.name, field.value);
+        return true;
+    });
+    fields = std::move(kept);
 }
 
-std::string requestText(const HttpRequestHead& head, std::string_view body)
+std::string requestHeadText(const HttpRequestHead& head, std::size_t bodySize)
 {
     std::string text = head.method + ' ' + head.target + " HTTP/1.1\r\n";
     appendFields(text, head.fields);
-    if (!body.empty() || (head.method != "GET" && head.method != "HEAD" && head.method != "DELETE"))
-        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    if (bodySize > 0 || (head.method != "GET" && head.method != "HEAD" && head.method != "DELETE"))
+        text += "Content-Length: " + std::to_string(bodySize) + "\r\n";
     text += "\r\n";
-    text += body;
     return text;
 }
 
+std::string requestText(const HttpRequestHead& head, std::string_view body)
+{
+    return requestHeadText(head, body.size()).append(body);
+}
+
 bool isBodylessStatus(int status)
 {
     constexpr int kFirstFinalStatus = 200;
--- a/src/hornbeamgate/runtime/net/http_message.hpp
+++ b/src/hornbeamgate/runtime/net/http_message.hpp
@@ -11,15 +11,25 @@
 
 namespace hornbeamgate::gateway {
 
+/// Header field; refers to the fields that it belongs to.
 struct HttpField {
-    std::string name;
-    std::string value;
+    std::string_view name;
+    std::string_view value;
 };
 
 /// Header fields of a message in their original order. Field names are case-insensitive.
+///
+/// The fields are kept as one text, so that a head of very many short lines takes no more memory than its bytes: with two
+/// strings a line, 16 KB of heads took 260 KB.
 class HttpFields {
 public:
-    void add(std::string_view name, std::string_view value) { m_fields.push_back({ std::string(name), std::string(value) }); }
+    /// `name` must be a token and `value` free of line feeds, as in every message that HttpParser accepts.
+    void add(std::string_view name, std::string_view value);
+    /// Adds a field piece by piece: all of its name, then all of its value, then its end.
+    void appendName(std::string_view octets) { m_text += octets; }
+    void beginValue() { m_text += ':'; }
+    void appendValue(std::string_view octets) { m_text += octets; }
+    void endField() { m_text += '\n'; }
     void remove(std::string_view name);
     /// Value of the first field called `name`.
     std::optional<std::string_view> find(std::string_view name) const;
@@ -29,11 +39,25 @@
     /// Whether a comma-separated list in the fields called `name` contains `token`, ignoring case.
     bool listContains(std::string_view name, std::string_view token) const;
 
-    const std::vector<HttpField>& all() const { return m_fields; }
-    std::vector<HttpField>& all() { return m_fields; }
+    std::vector<HttpField> all() const;
+    /// Calls `visit` for each field until it returns false.
+    template <typename Visit>
+    void visit(Visit visit) const
+    {
+        std::string_view rest(m_text);
+        while (!rest.empty()) {
+            const auto colon = rest.find(':');
+            const auto end = rest.find('\n', colon);
+            if (!visit(HttpField { rest.substr(0, colon), rest.substr(colon + 1, end - colon - 1) }))
+                return;
+            rest.remove_prefix(end + 1);
+        }
+    }
+
+    std::size_t heldBytes() const { return m_text.capacity(); }
 
 private:
-    std::vector<HttpField> m_fields;
+    std::string m_text; ///< a line `NAME:VALUE\n` for each field
 };
 
 struct HttpRequestHead {
@@ -41,6 +65,8 @@
     std::string target;
     HttpFields fields;
     bool keepsAlive = true;
+
+    std::size_t heldBytes() const { return target.capacity() + fields.heldBytes(); }
 };
 
 struct HttpResponseHead {
@@ -62,6 +88,8 @@
 void removeHopByHopFields(HttpFields& fields);
 
 std::string requestText(const HttpRequestHead& head, std::string_view body);
+/// Returns the head of a request whose body has `bodySize` bytes.
+std::string requestHeadText(const HttpRequestHead& head, std::size_t bodySize);
 /// Returns whether responses with this status end with their heads, whatever their fields say (RFC 9112, 6.3).
 bool isBodylessStatus(int status);
 
--- a/src/hornbeamgate/runtime/net/http_parser.cpp
+++ b/src/hornbeamgate/runtime/net/http_parser.cpp
@@ -3,6 +3,7 @@
 #include <http_parser.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace hornbeamgate::gateway {
 
@@ -11,9 +12,9 @@
     /// Characters besides letters and digits that RFC 9110 allows in a field name.
     constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
 
-    bool isToken(std::string_view name)
+    bool hasOnlyTokenCharacters(std::string_view name)
     {
-        return !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
+        return std::all_of(name.begin(), name.end(), [](char c) {
             return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || kTokenMarks.find(c) != std::string_view::npos;
         });
     }
@@ -35,12 +36,17 @@
     Handlers handlers;
     std::string target;
     HttpFields fields;
-    bool lastWasValue = false;
+    enum class FieldPart { None,
+        Name,
+        Value } fieldPart
+        = FieldPart::None; ///< part of the last field that arrived last
+    bool isReadingHead = true;
     bool isInside = false;
     bool isComplete = false;
     bool noBody = false;
     std::size_t headBytes = 0;
     std::size_t bodyBytes = 0;
+    std::size_t trailerBytes = 0;
     std::optional<HttpParseError> fault;
 
     static State& of(http_parser* parser) { return *static_cast<State*>(parser->data); }
@@ -51,10 +57,19 @@
         return 1;
     }
 
-    int addHeadBytes(std::size_t count)
+    int addTrailerBytes(std::size_t count)
     {
-        headBytes += count;
-        return headBytes > limits.maxHeadBytes ? fail("the head is too large", true) : 0;
+        trailerBytes += count;
+        return trailerBytes > limits.maxHeadBytes ? fail("the trailer is too large", true) : 0;
+    }
+
+    void endField()
+    {
+        if (fieldPart == FieldPart::Name)
+            fields.beginValue();
+        if (fieldPart != FieldPart::None)
+            fields.endField();
+        fieldPart = FieldPart::None;
     }
 
     bool isInterim() const
@@ -67,9 +82,9 @@
         auto& self = of(parser);
         self.target.clear();
         self.fields = {};
-        self.lastWasValue = false;
-        self.headBytes = 0;
+        self.fieldPart = FieldPart::None;
         self.bodyBytes = 0;
+        self.trailerBytes = 0;
         self.isInside = true;
         return 0;
     }
@@ -77,47 +92,59 @@
     static int onTarget(http_parser* parser, const char* at, std::size_t length)
     {
         of(parser).target.append(at, length);
-        return of(parser).addHeadBytes(length);
+        return 0;
     }
 
     static int onName(http_parser* parser, const char* at, std::size_t length)
     {
         auto& self = of(parser);
-        if (self.lastWasValue || self.fields.all().empty())
-            self.fields.add({}, {});
-        self.lastWasValue = false;
-        self.fields.all().back().name.append(at, length);
-        return self.addHeadBytes(length);
+        if (!self.isReadingHead)
+            return self.addTrailerBytes(length);
+        if (!hasOnlyTokenCharacters({ at, length }))
+            return self.fail("malformed field name");
+        if (self.fieldPart != FieldPart::Name)
+            self.endField();
+        self.fieldPart = FieldPart::Name;
+        self.fields.appendName({ at, length });
+        return 0;
     }
 
     static int onValue(http_parser* parser, const char* at, std::size_t length)
     {
         auto& self = of(parser);
-        self.lastWasValue = true;
-        if (!self.fields.all().empty())
-            self.fields.all().back().value.append(at, length);
-        return self.addHeadBytes(length);
+        if (!self.isReadingHead)
+            return self.addTrailerBytes(length);
+        if (hasControlCharacter({ at, length }))
+            return self.fail("control character in a field value");
+        if (self.fieldPart == FieldPart::Name)
+            self.fields.beginValue();
+        self.fieldPart = FieldPart::Value;
+        self.fields.appendValue({ at, length });
+        return 0;
     }
 
-    int checkFields()
+    bool hasUnnamedField() const
     {
-        for (const auto& field : fields.all()) {
-            if (!isToken(field.name))
-                return fail("malformed field name");
-            if (hasControlCharacter(field.value))
-                return fail("control character in a field value");
-        }
-        return 0;
+        bool isFound = false;
+        fields.visit([&isFound](const HttpField& field) {
+            isFound = field.name.empty();
+            return !isFound;
+        });
+        return isFound;
     }
 
     static int onHead(http_parser* parser)
     {
         constexpr int kSkipBody = 1;
         auto& self = of(parser);
-        if (self.checkFields() != 0)
+        self.endField();
+        if (self.hasUnnamedField()) {
+            self.fail("malformed field name");
             return -1;
+        }
+        self.isReadingHead = self.isInterim();
         if (self.type == HTTP_REQUEST) {
-            HttpRequestHead head { http_method_str(static_cast<http_method>(parser->method)), self.target, std::move(self.fields),
+            HttpRequestHead head { http_method_str(static_cast<http_method>(parser->method)), std::exchange(self.target, {}), std::exchange(self.fields, {}),
                 http_should_keep_alive(parser) != 0 };
             self.handlers.requestHead(std::move(head));
             return 0;
@@ -125,7 +152,7 @@
         if (self.isInterim())
             return 0;
         const bool hasNoBody = self.noBody;
-        HttpResponseHead head { static_cast<int>(parser->status_code), std::move(self.fields), http_should_keep_alive(parser) != 0,
+        HttpResponseHead head { static_cast<int>(parser->status_code), std::exchange(self.fields, {}), http_should_keep_alive(parser) != 0,
             !hasNoBody && endsWithConnection(*parser) };
         self.handlers.responseHead(std::move(head));
         return hasNoBody ? kSkipBody : 0;
@@ -214,15 +241,28 @@
 Result<std::size_t, HttpParseError> HttpParser::feed(std::string_view octets)
 {
     auto& state = *m_state;
-    const std::size_t taken = http_parser_execute(&state.parser, &State::settings(), octets.data(), octets.size());
-    if (state.isComplete) {
-        state.isComplete = false;
-        http_parser_pause(&state.parser, 0);
-        state.handlers.complete();
-        return taken;
-    }
-    if (state.fault || HTTP_PARSER_ERRNO(&state.parser) != HPE_OK)
-        return failure(state.parseError());
+    std::size_t taken = 0;
+    do {
+        auto slice = octets.substr(taken);
+        // A slice that ends where the limit is reached counts the head exactly, although the parser reports no positions.
+        if (state.isReadingHead)
+            slice = slice.substr(0, state.limits.maxHeadBytes - state.headBytes);
+        if (slice.empty() && !octets.empty())
+            return failure(HttpParseError { "the head is too large", true });
+        const std::size_t count = http_parser_execute(&state.parser, &State::settings(), slice.data(), slice.size());
+        taken += count;
+        if (state.isComplete) {
+            state.isComplete = false;
+            state.isReadingHead = true;
+            state.headBytes = 0;
+            http_parser_pause(&state.parser, 0);
+            state.handlers.complete();
+            return taken;
+        }
+        if (state.fault || HTTP_PARSER_ERRNO(&state.parser) != HPE_OK)
+            return failure(state.parseError());
+        state.headBytes += state.isReadingHead ? count : 0;
+    } while (taken < octets.size());
     return taken;
 }
 
@@ -240,6 +280,11 @@
     return {};
 }
 
+std::size_t HttpParser::heldBytes() const
+{
+    return m_state->target.capacity() + m_state->fields.heldBytes();
+}
+
 bool HttpParser::isInsideMessage() const
 {
     return m_state->isInside;
--- a/src/hornbeamgate/runtime/net/http_parser.hpp
+++ b/src/hornbeamgate/runtime/net/http_parser.hpp
@@ -6,12 +6,12 @@
 
 /// Size limits for one message.
 struct HttpParserLimits {
-    std::size_t maxHeadBytes = 65536;
+    std::size_t maxHeadBytes = 65536; ///< with separators and line ends, and with the interim responses before it
     std::size_t maxBodyBytes = SIZE_MAX;
 };
 
 /// Incremental parser for the HTTP/1.1 messages of one connection. It stops after each message, so that pipelined
-/// messages are handled one at a time.
+/// messages are handled one at a time. Chunk framing, chunk extensions and trailers are discarded as they arrive.
 class HttpParser {
 public:
     struct Handlers {
@@ -34,6 +34,9 @@
     /// Signals an orderly close by the peer, which completes a body that is delimited by the end of the connection.
     Result<void, HttpParseError> finish();
 
+    /// Memory that the unfinished head takes.
+    std::size_t heldBytes() const;
+
     /// Whether a message has started and is not complete yet.
     bool isInsideMessage() const;
 
--- a/src/hornbeamgate/runtime/net/http_server_connection.cpp
+++ b/src/hornbeamgate/runtime/net/http_server_connection.cpp
@@ -1,5 +1,8 @@
 #include "hornbeamgate/runtime/net/http_server_connection.hpp"
 
+#include <algorithm>
+#include <charconv>
+
 namespace hornbeamgate::gateway {
 
 namespace {
@@ -8,6 +11,11 @@
     constexpr int kRequestTimeout = 408;
     constexpr int kContentTooLarge = 413;
     constexpr int kHeadTooLarge = 431;
+    constexpr int kUnavailable = 503;
+    /// Memory of a connection without a request: its objects, callbacks and event sources, as measured with 10,000 idle ones.
+    constexpr std::size_t kConnectionBytes = 4096;
+    /// Retry-After, in seconds, of a refusal for lack of memory: the time after which stalled connections are closed.
+    constexpr std::string_view kRetryAfter = "1";
     /// Limit on buffered bytes of pipelined requests while a request is in progress; reading pauses above it.
     constexpr std::size_t kMaxPendingBytes = 65536;
     /// Time that a client has to close its side after the last response.
@@ -19,6 +27,7 @@
     : m_host(host)
     , m_stream(std::move(stream))
     , m_timer([this] { onTimeout(); })
+    , m_memory(m_host.memory, *this)
 {
     const auto limits = m_host.limits();
     m_parser = HttpParser::forRequests({ limits.maxHeadBytes, limits.maxBodyBytes },
@@ -29,6 +38,7 @@
                 onSent();
         } });
     m_timer.set(MonotonicClock::now() + limits.idleTimeout);
+    updateMemory();
 }
 
 void HttpServerConnection::onReceived(std::string_view octets)
@@ -36,10 +46,59 @@
     if (m_isFinishing)
         return;
     m_pending += octets;
+    const auto alive = m_liveness.watch();
     if (!m_handler)
         parsePending();
-    if (m_stream && m_handler && m_pending.size() > kMaxPendingBytes)
+    if (alive.expired() || m_hasEnded)
+        return;
+    if (m_handler && !m_pending.empty() && (m_pending.size() > kMaxPendingBytes || isMemoryNearlyUsed()))
         m_stream->pauseReading(true);
+    updateMemory();
+}
+
+std::size_t HttpServerConnection::heldBytes() const
+{
+    const std::size_t held = kConnectionBytes + m_pending.capacity() + m_parser->heldBytes() + m_message.head.heldBytes() + m_message.body.capacity();
+    return held + (m_stream ? m_stream->heldBytes() : 0) + (m_handler ? m_handler->heldBytes() : 0);
+}
+
+void HttpServerConnection::updateMemory()
+{
+    if (m_host.memory && !m_hasEnded)
+        m_memory.set(heldBytes());
+}
+
+bool HttpServerConnection::makeRoom(std::size_t more)
+{
+    if (!m_host.memory)
+        return true;
+    m_memory.set(heldBytes() + more);
+    return m_host.memory->makeRoom(&m_memory, MonotonicClock::now());
+}
+
+std::optional<MonotonicTime> HttpServerConnection::stalledSince() const
+{
+    if (m_hasEnded || (m_handler && unsent() == 0))
+        return std::nullopt;
+    return m_stream->lastProgress();
+}
+
+void HttpServerConnection::closeForMemory()
+{
+    release("the process has too little memory");
+}
+
+void HttpServerConnection::release(std::string_view reason)
+{
+    reportCutOff(reason);
+    if (m_handler)
+        m_handler->clientDisconnected();
+    notifyEnded();
+    m_stream.reset();
+    m_handler.reset();
+    m_message = {};
+    std::string().swap(m_pending);
+    m_memory.set(0);
 }
 
 void HttpServerConnection::parsePending()
@@ -53,8 +112,14 @@
         // The parser passes views of its input to callbacks, which may append to m_pending, so it gets its own buffer.
         const auto octets = std::exchange(m_pending, {});
         const auto taken = m_parser->feed(octets);
-        if (alive.expired())
+        if (alive.expired() || m_hasEnded)
             return;
+        if (!m_handler && !m_lacksMemory && !makeRoom(0))
+            m_lacksMemory = true;
+        if (m_lacksMemory) {
+            refuseForMemory();
+            return;
+        }
         if (!taken) {
             const bool inBody = !m_message.head.method.empty();
             refuse(!taken.error().isTooLarge ? kBadRequest : inBody ? kContentTooLarge
@@ -70,19 +135,47 @@
     m_message = { std::move(head), {}, MonotonicClock::now() };
     m_isHeadRequest = m_message.head.method == "HEAD";
     m_keepsAlive = m_message.head.keepsAlive;
+    const auto limits = m_host.limits();
+    m_expectedBody = limits.maxBodyBytes;
+    if (const auto length = m_message.head.fields.find("Content-Length"))
+        std::from_chars(length->data(), length->data() + length->size(), m_expectedBody);
+    if (!makeRoom(0)) {
+        m_lacksMemory = true;
+        return;
+    }
     if (m_message.head.fields.listContains("Expect", "100-continue"))
         m_stream->send("HTTP/1.1 100 Continue\r\n\r\n");
     // A long body may take as long as the idle timeout allows.
-    m_timer.set(MonotonicClock::now() + m_host.limits().idleTimeout);
+    m_timer.set(MonotonicClock::now() + limits.idleTimeout);
 }
 
 void HttpServerConnection::onBody(std::string_view octets)
 {
+    if (m_lacksMemory || !growBody(octets.size())) {
+        m_lacksMemory = true;
+        return;
+    }
     m_message.body += octets;
 }
 
+bool HttpServerConnection::growBody(std::size_t more)
+{
+    auto& body = m_message.body;
+    const auto needed = body.size() + more;
+    if (needed <= body.capacity())
+        return true;
+    // Doubling without regard to the expected size would take up to twice the memory of the body.
+    const auto capacity = std::max(needed, std::min(2 * body.capacity(), m_expectedBody));
+    if (!makeRoom(capacity - body.capacity()))
+        return false;
+    body.reserve(capacity);
+    return true;
+}
+
 void HttpServerConnection::onRequest()
 {
+    if (m_lacksMemory)
+        return;
     m_timer.clear();
     m_isReadingRequest = false;
     m_handler = m_host.accept(*this, std::exchange(m_message, {}));
@@ -99,9 +192,9 @@
     if (!m_keepsAlive)
         fields.add("Connection", "close");
     auto text = responseHeadText(status, fields);
-    if (!m_hasNoBody)
-        text += body;
     m_stream->send(text);
+    if (!m_hasNoBody)
+        m_stream->send(body);
     completeResponse();
 }
 
@@ -115,12 +208,14 @@
     if (!m_keepsAlive)
         fields.add("Connection", "close");
     m_stream->send(responseHeadText(status, fields));
+    updateMemory();
 }
 
 void HttpServerConnection::sendChunk(std::string_view octets)
 {
     if (!m_hasNoBody)
         m_stream->send(chunkText(octets));
+    updateMemory();
 }
 
 void HttpServerConnection::finishResponse()
@@ -132,6 +227,7 @@
 
 void HttpServerConnection::completeResponse()
 {
+    updateMemory();
     // This may run inside a callback of the handler, so its destruction is deferred until the callback has returned.
     post([this, alive = m_liveness.watch()] {
         if (alive.expired() || m_hasEnded)
@@ -152,13 +248,17 @@
     if (m_handler)
         m_handler->responseSent();
     m_handler.reset();
+    updateMemory();
     if (!m_keepsAlive) {
         finish();
         return;
     }
     m_timer.set(MonotonicClock::now() + m_host.limits().idleTimeout);
     m_stream->pauseReading(false);
+    const auto alive = m_liveness.watch();
     parsePending();
+    if (!alive.expired())
+        updateMemory();
 }
 
 void HttpServerConnection::reportCutOff(std::string_view reason)
@@ -208,15 +308,30 @@
     close();
 }
 
-void HttpServerConnection::refuse(int status)
+void HttpServerConnection::refuse(int status, HttpFields fields)
 {
     m_keepsAlive = false;
     m_isReadingRequest = false;
-    m_pending.clear();
-    answer(status, {}, {});
+    // What was read of the request is not needed any more, and the client may take its time to close the connection.
+    m_message = {};
+    m_parser = HttpParser::forRequests({}, {});
+    std::string().swap(m_pending);
+    answer(status, std::move(fields), {});
     m_isFinishing = true;
 }
 
+void HttpServerConnection::refuseForMemory()
+{
+    HttpFields fields;
+    if (m_host.refusalFields)
+        fields = m_host.refusalFields(m_message.head);
+    else
+        fields.add("Retry-After", kRetryAfter);
+    if (m_host.memory->observer().refused)
+        m_host.memory->observer().refused("memory");
+    refuse(kUnavailable, std::move(fields));
+}
+
 void HttpServerConnection::close()
 {
     if (m_hasEnded)
--- a/src/hornbeamgate/runtime/net/tcp_listener.cpp
+++ b/src/hornbeamgate/runtime/net/tcp_listener.cpp
@@ -12,6 +12,8 @@
     constexpr int kBacklog = 1024;
     /// Limit per main loop iteration, so that a burst of new connections does not stall requests in progress.
     constexpr int kMaxAcceptsPerIteration = 32;
+    /// Pause after the process had no descriptor for a new connection; connections end meanwhile.
+    constexpr std::chrono::milliseconds kAcceptRetryDelay { 100 };
 
 } // namespace
 
@@ -40,8 +42,14 @@
     : m_descriptor(descriptor)
     , m_address(std::move(address))
     , m_accepted(std::move(accepted))
+    , m_retryTimer([this] { watch(); })
 {
-    m_source = watchReadable(descriptor, [this] { acceptAll(); });
+    watch();
+}
+
+void TcpListener::watch()
+{
+    m_source = watchReadable(m_descriptor, [this] { acceptAll(); });
 }
 
 TcpListener::~TcpListener()
@@ -54,8 +62,14 @@
 {
     for (int i = 0; i < kMaxAcceptsPerIteration; ++i) {
         const int accepted = accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (accepted < 0)
+        if (accepted < 0) {
+            // The connection stays in the queue, so the main loop would call this again without end.
+            if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+                m_source.reset();
+                m_retryTimer.set(MonotonicClock::now() + kAcceptRetryDelay);
+            }
             return;
+        }
         m_accepted(TcpStream::adopt(accepted));
     }
 }
--- a/src/hornbeamgate/runtime/net/tcp_listener.hpp
+++ b/src/hornbeamgate/runtime/net/tcp_listener.hpp
@@ -19,12 +19,14 @@
 
 private:
     TcpListener(int descriptor, SocketAddress address, Accepted accepted);
+    void watch();
     void acceptAll();
 
     int m_descriptor;
     SocketAddress m_address;
     Accepted m_accepted;
     EventSource m_source;
+    Timer m_retryTimer; ///< set while the process has no descriptors left
 };
 
 } // namespace hornbeamgate::gateway
--- a/src/hornbeamgate/runtime/net/tcp_stream.cpp
+++ b/src/hornbeamgate/runtime/net/tcp_stream.cpp
@@ -99,11 +99,35 @@
 {
     if (m_hasSendFailed)
         return;
-    m_unsent += octets;
+    // What follows a shared body is rare and small, so the rest of the body is copied then.
+    if (m_body) {
+        buffer(unsentBody());
+        m_body.reset();
+    }
+    if (m_isConnected && unsent() == 0)
+        octets.remove_prefix(write(octets));
+    buffer(octets);
     if (m_isConnected)
         flush();
 }
 
+void TcpStream::send(std::string_view octets, std::shared_ptr<const std::string> body)
+{
+    send(octets);
+    if (m_hasSendFailed || body->empty())
+        return;
+    m_body = std::move(body);
+    m_bodyOffset = 0;
+    if (m_isConnected)
+        flush();
+}
+
+void TcpStream::buffer(std::string_view octets)
+{
+    if (!octets.empty())
+        m_unsent += octets;
+}
+
 bool TcpStream::hasNoInput() const
 {
     if (m_hasEnded)
@@ -175,6 +199,7 @@
     std::array<char, kReadSize> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
     const auto count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
     if (count > 0) {
+        m_lastProgress = MonotonicClock::now();
         const auto handlers = m_handlers;
         handlers->received({ buffer.data(), static_cast<std::size_t>(count) });
         return;
@@ -189,17 +214,16 @@
 
 void TcpStream::flush()
 {
-    while (unsent() > 0 && !m_hasSendFailed) {
-        const auto count = ::send(m_descriptor, m_unsent.data() + m_sentOffset, unsent(), MSG_NOSIGNAL);
-        if (count < 0) {
-            // A failed send is reported when reading fails, after the data that the peer had sent is delivered.
-            m_hasSendFailed = errno != EAGAIN && errno != EINTR;
-            break;
-        }
-        m_sentOffset += static_cast<std::size_t>(count);
+    m_sentOffset += write(std::string_view(m_unsent).substr(m_sentOffset));
+    if (m_sentOffset == m_unsent.size())
+        m_bodyOffset += write(unsentBody());
+    if (unsentBody().empty()) {
+        m_body.reset();
+        m_bodyOffset = 0;
     }
     if (unsent() == 0) {
-        m_unsent.clear();
+        // A buffer that was large once would otherwise be kept as long as the connection.
+        std::string().swap(m_unsent);
         m_sentOffset = 0;
         if (m_finishAfterFlush)
             shutdown(m_descriptor, SHUT_WR);
@@ -210,6 +234,23 @@
     updateInterest();
 }
 
+std::size_t TcpStream::write(std::string_view octets)
+{
+    std::size_t written = 0;
+    while (written < octets.size() && !m_hasSendFailed) {
+        const auto count = ::send(m_descriptor, octets.data() + written, octets.size() - written, MSG_NOSIGNAL);
+        if (count < 0) {
+            // A failed send is reported when reading fails, after the data that the peer had sent is delivered.
+            m_hasSendFailed = errno != EAGAIN && errno != EINTR;
+            break;
+        }
+        written += static_cast<std::size_t>(count);
+    }
+    if (written > 0)
+        m_lastProgress = MonotonicClock::now();
+    return written;
+}
+
 void TcpStream::updateInterest()
 {
     if (m_hasEnded)
--- a/src/hornbeamgate/runtime/net/tcp_stream.hpp
+++ b/src/hornbeamgate/runtime/net/tcp_stream.hpp
@@ -50,7 +50,13 @@
 
     /// Sends `octets`, buffering what the socket does not accept yet.
     void send(std::string_view octets);
-    std::size_t unsent() const { return m_unsent.size() - m_sentOffset; }
+    /// Sends `octets` and then `body`, which is shared instead of copied.
+    void send(std::string_view octets, std::shared_ptr<const std::string> body);
+    std::size_t unsent() const { return m_unsent.size() - m_sentOffset + unsentBody().size(); }
+    /// Memory of the stream's own buffer.
+    std::size_t heldBytes() const { return m_unsent.capacity(); }
+    /// Time at which the socket last delivered or took bytes; at first the time of the connection.
+    MonotonicTime lastProgress() const { return m_lastProgress; }
     bool isConnected() const { return m_isConnected; }
     /// Returns false if the peer has closed the connection or if unread input is pending in the socket.
     bool hasNoInput() const;
@@ -67,6 +73,10 @@
     void finishConnecting();
     void read();
     void flush();
+    /// Writes to the socket and returns the number of bytes that it took.
+    std::size_t write(std::string_view octets);
+    void buffer(std::string_view octets);
+    std::string_view unsentBody() const { return m_body ? std::string_view(*m_body).substr(m_bodyOffset) : std::string_view(); }
     void updateInterest();
     void end(StreamEnd how, const std::string& reason);
 
@@ -78,6 +88,9 @@
     bool m_hasEnded = false;
     std::string m_unsent;
     std::size_t m_sentOffset = 0;
+    std::shared_ptr<const std::string> m_body; ///< sent after m_unsent
+    std::size_t m_bodyOffset = 0;
+    MonotonicTime m_lastProgress = MonotonicClock::now();
     std::shared_ptr<const Handlers> m_handlers; ///< shared so that a running callback may replace it or destroy the stream
     EventSource m_source;
     gpointer m_tag = nullptr;
--- a/src/hornbeamgate/settings/gateway_settings.cpp
+++ b/src/hornbeamgate/settings/gateway_settings.cpp
@@ -6,6 +6,9 @@
 
     constexpr NumberRange kTimeoutRange { 1, 3'600'000 };
     constexpr NumberRange kCountRange { 0, 1'000'000 };
+    /// A process with its configuration takes about 20 MB, and a request at the limits 4 MB.
+    constexpr NumberRange kMemoryRange { 64, 1'048'576 };
+    constexpr NumberRange kDescriptorRange { MachineLimits::kMinFileDescriptors, 1'048'576 };
     constexpr std::chrono::milliseconds kDefaultStopGrace { 8'000 };
     /// Share of the time between SIGTERM and SIGKILL in which requests are finished; the rest is left to deregister.
     constexpr double kDrainShare = 7.0 / 8;
@@ -18,6 +21,16 @@
     constexpr std::chrono::milliseconds kDefaultLeaderLease { 3'000 };
     constexpr std::chrono::milliseconds kDefaultMinMembershipLifetime { 1'000 };
 
+    MachineLimits readMachineLimits(SettingsReader& reader)
+    {
+        MachineLimits limits;
+        limits.memoryMegabytes = static_cast<std::size_t>(reader.number("memory_mb", kMemoryRange, MachineLimits::kDefaultMemoryMegabytes));
+        limits.fileDescriptors = static_cast<std::size_t>(reader.number("file_descriptors", kDescriptorRange, MachineLimits::kDefaultFileDescriptors));
+        const auto share = static_cast<std::int64_t>(MachineLimits::callerShare(limits.fileDescriptors));
+        limits.maxCallerConnections = static_cast<std::size_t>(reader.number("max_caller_connections", { 1, share }, share));
+        return limits;
+    }
+
     GatewaySettings readGateway(SettingsReader& reader)
     {
         GatewaySettings settings;
@@ -44,6 +57,7 @@
         settings.minMembershipLifetime = reader.milliseconds("least_membership_ms", kTimeoutRange, kDefaultMinMembershipLifetime);
         for (auto& contract : reader.texts("contracts"))
             settings.contracts.insert(std::move(contract));
+        settings.machine = readMachineLimits(reader);
         settings.leaderLease = reader.milliseconds("duty_lease_ms", kTimeoutRange, kDefaultLeaderLease);
         return settings;
     }
--- a/src/hornbeamgate/settings/gateway_settings.hpp
+++ b/src/hornbeamgate/settings/gateway_settings.hpp
@@ -9,6 +9,28 @@
 
 namespace hornbeamgate {
 
+/// What the machine has for the process, and what of it callers may take.
+///
+/// Designed for crowds of clients that each stay inside the limits of one request; see docs/operators/limits.md.
+struct MachineLimits {
+    static constexpr std::size_t kDefaultMemoryMegabytes = 256;
+    /// Above the descriptors of an ordinary host, so that the limit of the process decides.
+    static constexpr std::size_t kDefaultFileDescriptors = 65536;
+    /// With fewer, less than 25 would be left for callers.
+    static constexpr std::size_t kMinFileDescriptors = 300;
+    /// Descriptors kept for files, and for the admin and readiness addresses.
+    static constexpr std::size_t kFileDescriptorsKept = 200;
+
+    /// Connections of callers that leave the kept descriptors and a quarter for engines, other gateways and the store.
+    static constexpr std::size_t callerShare(std::size_t descriptors) { return descriptors - kFileDescriptorsKept - descriptors / 4; }
+
+    std::size_t memoryMegabytes = kDefaultMemoryMegabytes; ///< of the machine; half of it is for peers
+    std::size_t fileDescriptors = kDefaultFileDescriptors;
+    std::size_t maxCallerConnections = callerShare(kDefaultFileDescriptors);
+
+    std::size_t peerBytes() const { return memoryMegabytes * 1024 * 1024 / 2; }
+};
+
 /// Settings of the gateway daemon.
 struct GatewaySettings {
     CommonSettings common; ///< `link` is the listening address for other daemons; the platform addresses are unused
@@ -23,6 +45,7 @@
     Duration weightsBound {}; ///< maximum time from a change of a model's weights until no new request starts on older ones
     Duration minMembershipLifetime {}; ///< shortest lifetime of a group membership that the store accepts
     std::set<std::string> contracts; ///< contracts in force; a contract may enable a feature
+    MachineLimits machine;
     Duration leaderLease {}; ///< minimum time between orders from two different daemons to the same engine
 };
 
--- a/tests/net/http_parser.test.cpp
+++ b/tests/net/http_parser.test.cpp
@@ -120,3 +120,46 @@
     REQUIRE(fields.all().size() == 1);
     CHECK(fields.find("x-kept") == "2");
 }
+
+// Guards against heads that cost far more than their limit because only names and values count.
+TEST_CASE("the limit of a head counts separators and line ends, however the input is split [http]")
+{
+    constexpr std::size_t kLimit = 100;
+    const std::string start = "GET / HTTP/1.1\r\n";
+    for (const std::size_t size : { kLimit, kLimit + 1 }) {
+        std::string text = start;
+        while (text.size() + 4 <= size - 4)
+            text += "a:\r\n";
+        text.insert(text.size() - 2, std::string(size - 2 - text.size(), 'x'));
+        text += "\r\n";
+        REQUIRE(text.size() == size);
+        for (std::size_t step = 1; step <= text.size(); ++step) {
+            Parsed parsed;
+            const auto parser = HttpParser::forRequests({ kLimit, 10 }, collectInto(parsed));
+            bool isTooLarge = false;
+            for (std::size_t at = 0; at < text.size() && !isTooLarge; at += step) {
+                const auto taken = parser->feed(text.substr(at, step));
+                isTooLarge = !taken && taken.error().isTooLarge;
+            }
+            CHECK(isTooLarge == (size > kLimit));
+            CHECK(parsed.complete == (size > kLimit ? 0 : 1));
+        }
+    }
+}
+
+// Guards against trailers that are kept, or counted as fields of the next request.
+TEST_CASE("chunk extensions and trailers are discarded as they arrive [http]")
+{
+    Parsed parsed;
+    const auto parser = HttpParser::forRequests({ 1000, 10 }, collectInto(parsed));
+    REQUIRE(parser->feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;a=b\r\nx\r\n0\r\n"));
+    for (int i = 0; i < 100; ++i)
+        REQUIRE(parser->feed("a:b\r\n"));
+    CHECK(parser->heldBytes() < 100);
+    REQUIRE(parser->feed("\r\n"));
+    CHECK(parsed.body == "x");
+    CHECK(parsed.complete == 1);
+    REQUIRE(parser->feed("GET / HTTP/1.1\r\nX: 1\r\n\r\n"));
+    REQUIRE(parsed.requests.size() == 2);
+    CHECK(parsed.requests.back().fields.all().size() == 1);
+}
--- a/tests/platform/settings_template.test.cpp
+++ b/tests/platform/settings_template.test.cpp
@@ -34,6 +34,8 @@
         { "{{bounds.quota-window-s}}", "7" },
         { "{{bounds.grace-period-s}}", "6" },
         { "{{bounds.version-ms}}", "10000" },
+        { "{{limits.memory-mb}}", "88" },
+        { "{{limits.file-descriptors}}", "1024" },
         { "{{bounds.lease-duration-ms}}", "3000" },
         { "{{platform.min-ttl-ms|json}}", "1000" },
     };
@@ -73,6 +75,10 @@
     CHECK(settings->common.drainTimeout < 6s);
     CHECK(settings->common.drainTimeout >= 5s);
     CHECK(settings->weightsBound == 10s);
+    CHECK(settings->machine.peerBytes() == 46137344);
+    CHECK(settings->machine.fileDescriptors == 1024);
+    // 200 of 1,024 descriptors are kept for files, and 256 for engines, other gateways and the store.
+    CHECK(settings->machine.maxCallerConnections == 568);
     CHECK(settings->contracts == std::set<std::string> { "base", "pressure" });
 }
 
@@ -88,3 +94,15 @@
     CHECK(settings.error()[0].detail == "must be a number from 0 to 1");
     CHECK(settings.error()[1].path == "/unknown");
 }
+
+TEST_CASE("limits that the machine cannot hold are rejected [settings]")
+{
+    const std::string lease = "\"duty_lease_ms\"";
+    for (const auto& [wrong, path] : { std::pair("\"max_caller_connections\": 569, ", "/max_caller_connections"), std::pair("\"max_caller_connections\": 0, ", "/max_caller_connections") }) {
+        auto text = renderTemplate();
+        text.insert(text.find(lease), wrong);
+        const auto settings = parseGatewaySettings(text);
+        REQUIRE_FALSE(settings);
+        CHECK(settings.error().front().path == path);
+    }
+}
--- a/tests/untrusted_clients/untrusted_clients.test.cpp
+++ b/tests/untrusted_clients/untrusted_clients.test.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr int kMostRoutes = 10000;
 constexpr std::size_t kHeadSize = 16384;
 constexpr std::size_t kBodySize = 4194304;
 /// Bytes of lines that, with the fixed part of a head, stay just under the head limit of 16,384 bytes.
@@ -33,9 +34,12 @@
 
 /// The gateway with its store and one engine. Timeouts are longer than a case, so that only the limits end a connection.
 struct Machine {
-    Machine()
+    /// The configuration has `furtherRoutes` besides those that the crowds use.
+    explicit Machine(int furtherRoutes = 0)
     {
         std::string routes;
+        for (int i = 0; i < furtherRoutes; ++i)
+            routes += route("further-" + std::to_string(i), "safe") + ',';
         for (const auto* path : { "ordinary", "large", "endless-head", "endless-body", "silent" })
             routes += route(path, "safe") + ',';
         store.append("keyed.op", "config", R"({"version":1,"routes":[)" + routes + route("stream", "streaming") + R"(],"services":[{"name":"s"}],)"
@@ -125,9 +129,9 @@
 } // namespace
 
 // Guards against limits that are lower than those of one request.
-TEST_CASE("single requests at the limits are served [untrusted]")
+TEST_CASE("single requests at the limits are served under a configuration of 10,000 routes [untrusted]")
 {
-    const Machine machine;
+    const Machine machine(kMostRoutes);
     const std::string chunked = head("/ordinary/", "Transfer-Encoding: chunked\r\n\r\n");
     auto largestHead = head("/ordinary/", repeated("a:\r\n", kLegalLines) + "b:");
     const std::string end = "\r\nContent-Length: 0\r\n\r\n";
@@ -138,6 +142,8 @@
         CAPTURE(request.size());
         CHECK(machine.responseTo(request).starts_with("HTTP/1.1 200 "));
     }
+    CHECK(machine.gateway.peakMegabytes() < kMachineMegabytes);
+    MESSAGE("peak " << machine.gateway.peakMegabytes() << " MB");
 }
 
 TEST_CASE("heads of very many short or odd lines do not exhaust the memory [untrusted]")
