Accept the connections that wait in the backlog before an HTTP server closes its listener

Cause: HttpServer::stopAccepting closed the listener at once, and the kernel resets the connections that it had established since the main loop's last look, also where a request was sent. Connections that the kernel establishes between the last accept and close are still reset; that window is two system calls instead of an iteration of the main loop.

Ruled out: keeping the listener open until the process ends, which moves the same window to the end of the process.

--- a/src/hornbeamgate/runtime/http/http_server.cpp
+++ b/src/hornbeamgate/runtime/http/http_server.cpp
@@ -250,8 +250,22 @@
 void HttpServer::stopAccepting()
 {
     m_closing = true;
-    for (GSList* item = soup_server_get_listeners(m_server.get()); item; item = g_slist_delete_link(item, item))
-        g_socket_close(static_cast<GSocket*>(item->data), nullptr);
+    for (GSList* item = soup_server_get_listeners(m_server.get()); item; item = g_slist_delete_link(item, item)) {
+        auto* listener = static_cast<GSocket*>(item->data);
+        acceptWaiting(listener);
+        g_socket_close(listener, nullptr);
+    }
+}
+
+void HttpServer::acceptWaiting(GSocket* listener)
+{
+    g_socket_set_blocking(listener, FALSE);
+    while (const GObjectPtr<GSocket> accepted { g_socket_accept(listener, nullptr, nullptr) }) {
+        const GObjectPtr<GSocketConnection> connection(g_socket_connection_factory_create_connection(accepted.get()));
+        const GObjectPtr<GSocketAddress> local(g_socket_get_local_address(accepted.get(), nullptr));
+        const GObjectPtr<GSocketAddress> remote(g_socket_get_remote_address(accepted.get(), nullptr));
+        soup_server_accept_iostream(m_server.get(), G_IO_STREAM(connection.get()), local.get(), remote.get(), nullptr);
+    }
 }
 
 void HttpServer::onEarly(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer self)
--- a/src/hornbeamgate/runtime/http/http_server.hpp
+++ b/src/hornbeamgate/runtime/http/http_server.hpp
@@ -86,7 +86,8 @@
     HttpServer& operator=(const HttpServer&) = delete;
 
     const SocketAddress& address() const { return m_address; }
-    /// Stops accepting connections. Requests on open connections are still served; each of these connections closes
+    /// Stops accepting connections, after those that wait in the backlog: closing the listener resets what it has not
+    /// accepted, also where a request was sent already. Requests on open connections are still served; each of these connections closes
     /// after its next response.
     void stopAccepting();
     /// Sends `Connection: close` with all further responses.
@@ -99,6 +100,8 @@
 
     HttpServer(const SocketAddress& address, std::size_t maxBodyBytes, Handler handler);
 
+    void acceptWaiting(GSocket* listener);
+
     static void onEarly(SoupServer*, SoupServerMessage* message, const char* path, GHashTable* query, gpointer self);
     static void onRequest(SoupServer*, SoupServerMessage* message, const char* path, GHashTable* query, gpointer self);
 
