Send small bodies together with their heads, and test shared bodies

Cause: since bodies are sent without a copy, heads and small bodies left in two segments. Bodies up to 16 KB are copied again. The comments on the fixed sums of a connection and a request said that they were measured; they are estimates.

--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -39,7 +39,7 @@
     /// Bytes of a response that may be held while the memory for peers is used up and that cannot be passed on yet. Responses
     /// that grow beyond are passed on early or, where that is impossible, given up.
     constexpr std::size_t kMaxHeldWithoutMemory = 32768;
-    /// Memory of a request without its texts: its objects, callbacks and timers, and those of its exchange.
+    /// Estimate of the memory of a request without its texts: its objects, callbacks and timers, and those of its exchange.
     constexpr std::size_t kRequestBytes = 8192;
     /// Minimum retry time for refused callers; addRetryJitter() adds jitter so that they do not all return at once.
     constexpr milliseconds kMinRetryAfter { 100 };
--- a/src/hornbeamgate/runtime/net/http_server_connection.cpp
+++ b/src/hornbeamgate/runtime/net/http_server_connection.cpp
@@ -12,7 +12,9 @@
     constexpr int kContentTooLarge = 413;
     constexpr int kHeadTooLarge = 431;
     constexpr int kUnavailable = 503;
-    /// Memory of a connection without a request: its objects, callbacks and event sources, as measured with 10,000 idle ones.
+    /// Bodies up to this size are copied behind their heads, so that both leave in one segment.
+    constexpr std::size_t kMaxJoinedBody = 16384;
+    /// Estimate of the memory of a connection without a request: its objects, callbacks and event sources.
     constexpr std::size_t kConnectionBytes = 4096;
     /// Retry-After, in seconds, of a refusal for lack of memory: the time after which stalled connections are closed.
     constexpr std::string_view kRetryAfter = "1";
@@ -192,8 +194,11 @@
     if (!m_keepsAlive)
         fields.add("Connection", "close");
     auto text = responseHeadText(status, fields);
+    const bool isJoined = m_hasNoBody || body.size() <= kMaxJoinedBody;
+    if (isJoined && !m_hasNoBody)
+        text += body;
     m_stream->send(text);
-    if (!m_hasNoBody)
+    if (!isJoined)
         m_stream->send(body);
     completeResponse();
 }
--- a/src/hornbeamgate/runtime/net/tcp_stream.cpp
+++ b/src/hornbeamgate/runtime/net/tcp_stream.cpp
@@ -25,6 +25,8 @@
     constexpr int kMaxUnansweredProbes = 2;
     /// Maximum number of bytes per read; holds a few long prompts.
     constexpr std::size_t kReadSize = 65536;
+    /// Shared bodies up to this size are copied behind their heads, so that both leave in one segment.
+    constexpr std::size_t kMaxJoinedBody = 16384;
     /// Number of sent bytes at the front of the send buffer above which it is compacted.
     constexpr std::size_t kCompactionSize = 65536;
 
@@ -113,8 +115,12 @@
 
 void TcpStream::send(std::string_view octets, std::shared_ptr<const std::string> body)
 {
+    if (body->size() <= kMaxJoinedBody) {
+        send(std::string(octets) + *body);
+        return;
+    }
     send(octets);
-    if (m_hasSendFailed || body->empty())
+    if (m_hasSendFailed)
         return;
     m_body = std::move(body);
     m_bodyOffset = 0;
--- a/tests/net/http_exchange.test.cpp
+++ b/tests/net/http_exchange.test.cpp
@@ -405,3 +405,29 @@
     next.waitForEnd();
     CHECK(next.body == "y");
 }
+
+// Guards against a second copy of a large body while it waits for a slow engine, and against bytes lost or out of order.
+TEST_CASE("a shared body is sent whole behind its head without a copy, also when the server reads late [exchange]")
+{
+    constexpr std::size_t kLargeBody = 8388608;
+    for (const std::size_t size : { std::size_t { 5 }, kLargeBody }) {
+        std::string content(size, 'x');
+        for (std::size_t i = 0; i < size; ++i)
+            content[i] = static_cast<char>('a' + i % 26);
+        const auto body = std::make_shared<const std::string>(content + "end of the body");
+        ScriptedServer server;
+        HttpConnectionPool pool;
+        ExchangeRequest request;
+        request.peer = server.address();
+        request.text = "POST / HTTP/1.1\r\n\r\n";
+        request.sharedBody = body;
+        request.connectDeadline = MonotonicClock::now() + 5s;
+        const HttpExchange exchange(pool, std::move(request), { [](const HttpResponseHead&) {}, [](std::string_view) {}, [] {}, [](ExchangeFailure, const std::string&) {} });
+        REQUIRE(runUntil([&] { return server.connections() == 1; }));
+        CHECK(exchange.heldBytes() < 65536);
+        server.waitFor(0, "end of the body");
+        CHECK(server.received(0) == "POST / HTTP/1.1\r\n\r\n" + *body);
+        // Once it is sent, only the owner still holds the body.
+        CHECK(body.use_count() == 1);
+    }
+}
