--- a/src/hornbeamgate/observability/metrics.hpp
+++ b/src/hornbeamgate/observability/metrics.hpp
@@ -18,6 +18,8 @@
     RequestsAtLimit,
     SendsHeldBack,
     ResponsesCutOff,
+    ConnectionsRefused,
+    ConnectionsClosedForMemory,
     StreamPieces,
     RunsResumed,
     RunsRetried,
--- a/src/hornbeamgate/settings/gateway_settings.cpp
+++ b/src/hornbeamgate/settings/gateway_settings.cpp
@@ -6,6 +6,9 @@
 
     constexpr NumberRange kTimeoutRange { 1, 3'600'000 };
     constexpr NumberRange kCountRange { 0, 1'000'000 };
+    /// With 10,000 routes and single requests at the limits, the process peaked at 26 MB.
+    constexpr NumberRange kMemoryRange { 64, 1'048'576 };
+    constexpr NumberRange kDescriptorRange { MachineLimits::kMinFileDescriptors, 1'048'576 };
     constexpr std::chrono::milliseconds kDefaultStopGrace { 8'000 };
     /// Share of the time between SIGTERM and SIGKILL in which requests are finished; the rest is left to deregister.
     constexpr double kDrainShare = 7.0 / 8;
@@ -34,6 +37,16 @@
         return isEnabled ? std::optional(settings) : std::nullopt;
     }
 
+    MachineLimits readMachineLimits(SettingsReader& reader)
+    {
+        MachineLimits limits;
+        limits.memoryMegabytes = static_cast<std::size_t>(reader.number("memory_mb", kMemoryRange, MachineLimits::kDefaultMemoryMegabytes));
+        limits.fileDescriptors = static_cast<std::size_t>(reader.number("file_descriptors", kDescriptorRange, MachineLimits::kDefaultFileDescriptors));
+        const auto share = static_cast<std::int64_t>(MachineLimits::callerShare(limits.fileDescriptors));
+        limits.maxCallerConnections = static_cast<std::size_t>(reader.number("max_caller_connections", { 1, share }, share));
+        return limits;
+    }
+
     GatewaySettings readGateway(SettingsReader& reader)
     {
         GatewaySettings settings;
@@ -61,6 +74,7 @@
         for (auto& contract : reader.texts("contracts"))
             settings.contracts.insert(std::move(contract));
         settings.versionRollouts = readVersionRollouts(reader);
+        settings.machine = readMachineLimits(reader);
         settings.leaderLease = reader.milliseconds("duty_lease_ms", kTimeoutRange, kDefaultLeaderLease);
         return settings;
     }
