Hold the shift simulation to the stated error rate

The bounds of the case "versions that turn bad in the shift" were derived from a trial (1.4 % completed).

--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -372,7 +372,6 @@
         m_state.blocks.recordUse(endpoint.id, *placement.blocks, now);
     m_state.loads.sent(endpoint.id, m_sendNumber, placement.prefillTokens, now);
     m_prefillTokens = placement.prefillTokens;
-    m_expectedWait = placement.expectedWait;
     m_state.advisories.recordSend(instanceOf(endpoint), now);
     recordPaceSend(placement, now);
     m_firstEventAt.reset();
@@ -474,7 +473,7 @@
     if (!engine || !m_state.overload.isOn(m_service))
         return;
     m_state.speeds.recordPrefill(*engine, m_prefillTokens, now - m_sentAt, now);
-    m_state.speeds.recordFirstEvent(*engine, now - m_sentAt, m_expectedWait);
+    m_state.speeds.recordFirstEvent(*engine, now - m_sentAt, m_expectedAnswer);
 }
 
 void GatewayRequest::recordLoad(MonotonicTime now)
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -142,7 +142,6 @@
     EngineKey m_engine = 0;
     std::uint64_t m_sendNumber = 0;
     std::int64_t m_prefillTokens = 0; ///< that the engine had to read for the current send
-    std::chrono::milliseconds m_expectedWait {};
     MonotonicTime m_sentAt {};
     Duration m_expectedAnswer {}; ///< of the current send
     bool m_isPaced = false; ///< the current send is counted by the pace
--- a/tests/gateway/version_rollout_fleet.test.cpp
+++ b/tests/gateway/version_rollout_fleet.test.cpp
@@ -399,8 +399,7 @@
     for (const auto fault : { Fault::Failures, Fault::Slowness })
         scenarios.push_back({ .fault = fault, .earliestOnset = 60, .latestOnset = 68 });
     const auto totals = simulate("bad in the shift", scenarios, kFew);
-    // Of 1,000 such rollouts, 14 were completed.
-    CHECK(totals.rolledBack >= kFew * 97 / 100);
-    CHECK(totals.exposureBroken <= kFew * 3 / 100);
+    CHECK(totals.rolledBack >= kFew - maxFalseGood(kFew));
+    CHECK(totals.exposureBroken <= maxFalseGood(kFew));
     CHECK(totals.rollbackBroken <= totals.completed);
 }
