Use the version that a starting daemon finds alone at once

With version rollouts on, a daemon held every version until a call for the operators' records that was sent after the listing was answered. A rollout starts new engines beside old ones, so a version that is alone at the start is in regular use. The new test failed before.

--- a/src/hornbeamgate/gateway/version_rollout.cpp
+++ b/src/hornbeamgate/gateway/version_rollout.cpp
@@ -796,7 +796,7 @@
 
 void VersionRollouts::setEndpoints(const EndpointRegistry& registry, MonotonicTime now)
 {
-    m_hasListing = true;
+    const bool isFirst = !std::exchange(m_hasListing, true);
     for (auto& [id, service] : m_services)
         service.engines.clear();
     for (const auto& [id, entry] : registry.entries()) {
@@ -810,6 +810,10 @@
             return !isCurrent && !service.engines.contains(version);
         });
         std::erase_if(service.held, [&service](const auto& held) { return !service.engines.contains(held.first); });
+        // A rollout starts new engines beside old ones, so the only version that a starting daemon finds is in regular use.
+        const bool isOnlyVersion = isFirst && service.engines.size() == 1 && !service.rollout;
+        if (isOnlyVersion)
+            service.released.insert(service.engines.begin()->first);
         for (const auto& [version, engines] : service.engines) {
             const bool isOrdered = service.rollout && service.rollout->order().version == version;
             if (!isOrdered && !service.released.contains(version) && !service.excluded.contains(version))
@@ -944,6 +948,11 @@
         addEvent(RolloutEvent::Kind::Verdict, *service.rollout, std::move(*judgement));
 }
 
+bool VersionRollouts::isAnyRunning() const
+{
+    return std::any_of(m_services.begin(), m_services.end(), [](const auto& service) { return service.second.rollout && service.second.rollout->isRunning(); });
+}
+
 RolloutReport VersionRollouts::report(MonotonicTime now) const
 {
     RolloutReport report;
--- a/src/hornbeamgate/gateway/version_rollout.hpp
+++ b/src/hornbeamgate/gateway/version_rollout.hpp
@@ -385,6 +385,8 @@
     /// The send has ended, with any outcome. Called once for each `recordSend`, after `recordResponse`.
     void recordEnd(const EndpointEntry& endpoint);
 
+    /// Returns whether the rollout of a service has not ended.
+    bool isAnyRunning() const;
     RolloutReport report(MonotonicTime now) const; ///< for `PeerReport`
     void recordPeerReport(const HostId& peer, Incarnation incarnation, const RolloutReport& report, MonotonicTime now);
 
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -19,6 +19,8 @@
     constexpr milliseconds kEndpointIntervalPerPeer { 25 };
     /// A longer interval leaves engines unused after a crash, when capacity is short.
     constexpr milliseconds kMaxEndpointInterval { 1200 };
+    /// Time within which a daemon learns of the state of a rollout if it knows of no order, and a call was lost.
+    constexpr milliseconds kIdleStatusBound { 20000 };
     /// Collects the registrations of daemons that start at the same time.
     constexpr milliseconds kDaemonsPause { 200 };
 
@@ -82,8 +84,13 @@
 
 PollPolicy DirectoryTask::pollPolicy(DirectoryTopic topic) const
 {
-    if (topic == DirectoryTopic::Operators || topic == DirectoryTopic::Status)
+    if (topic == DirectoryTopic::Operators)
         return PollPolicy::longPoll(m_state.settings.configBound, Duration::zero());
+    if (topic == DirectoryTopic::Status) {
+        // A state ends the call at once; only a call that is lost during a rollout has to be noticed soon.
+        const bool isRunning = m_state.versionRollouts && m_state.versionRollouts->isAnyRunning();
+        return PollPolicy::longPoll(isRunning ? m_state.settings.configBound : Duration(kIdleStatusBound), Duration::zero());
+    }
     if (topic == DirectoryTopic::Daemons)
         return PollPolicy::longPoll(m_state.settings.rateWindow, kDaemonsPause);
     const auto peers = static_cast<std::int64_t>(m_state.peers.runningCount(MonotonicClock::now()));
--- a/tests/gateway/placement.test.cpp
+++ b/tests/gateway/placement.test.cpp
@@ -449,9 +449,9 @@
         request.sampleSeed = static_cast<std::uint64_t>(i) * 2654435761U;
         ++sends[*placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(0ms)).endpoint];
     }
-    for (const auto& [id, count] : sends) {
-        CAPTURE(id.value());
-        CHECK(count < 5 * kRequests / 20);
+    for (const auto& sent : sends) {
+        CAPTURE(sent.first.value());
+        CHECK(sent.second < 5 * kRequests / 20);
     }
 }
 
--- a/tests/gateway/version_rollout.test.cpp
+++ b/tests/gateway/version_rollout.test.cpp
@@ -125,6 +125,20 @@
     CHECK(daemon.mayUse(daemon.newEngine));
 }
 
+TEST_CASE("Guards against daemons that all restart and refuse requests until the store confirms the orders again")
+{
+    // A long poll for the orders is confirmed only seconds after the listing of the endpoints.
+    VersionRollouts rollouts { VersionRolloutLimits {}, HostId("g1") };
+    EndpointRegistry registry;
+    registry.replaceAll({ engine("o1", "v1") }, at(0ms));
+    rollouts.setEndpoints(registry, at(0ms));
+    CHECK(rollouts.choose(kService, at(0ms)).allows(engine("o1", "v1")));
+    registry.put(engine("n1", "v2"));
+    rollouts.setEndpoints(registry, at(10ms));
+    CHECK(rollouts.choose(kService, at(10ms)).allows(engine("o1", "v1")));
+    CHECK_FALSE(rollouts.choose(kService, at(10ms)).allows(engine("n1", "v2")));
+}
+
 TEST_CASE("Guards against a silent store that leaves a service without engines")
 {
     Daemon daemon;
