Derive state of a request that was kept twice

Whether an endpoint has answered the current send was a flag beside the time of that answer. The prefill time of a service was computed in the request as well as in EngineSpeeds, the endpoint of the send was put together in four places, and the first event was asked for twice in a row. Behaviour is unchanged; the several readings of the clock while events are relayed are now one.

--- a/src/hornbeamgate/gateway/engine_speeds.cpp
+++ b/src/hornbeamgate/gateway/engine_speeds.cpp
@@ -99,10 +99,14 @@
     return std::clamp(own.timeRatio / service->second.timeRatio, kMinSlowdown, kMaxSlowdown);
 }
 
+Duration EngineSpeeds::prefillTime(const ServiceId& service, std::int64_t tokens) const
+{
+    return std::chrono::duration_cast<Duration>(Milliseconds(static_cast<double>(tokens) / tokensPerMs(service)));
+}
+
 Duration EngineSpeeds::prefillTime(const EndpointEntry& engine, std::int64_t tokens, MonotonicTime now) const
 {
-    const Milliseconds time(static_cast<double>(tokens) / tokensPerMs(engine.service) * slowdown(engine, now));
-    return std::chrono::duration_cast<Duration>(time);
+    return std::chrono::duration_cast<Duration>(prefillTime(engine.service, tokens) * slowdown(engine, now));
 }
 
 } // namespace hornbeamgate::gateway
--- a/src/hornbeamgate/gateway/engine_speeds.hpp
+++ b/src/hornbeamgate/gateway/engine_speeds.hpp
@@ -30,6 +30,7 @@
     double tokensPerMs(const ServiceId& service) const;
     /// Returns the factor by which the engine is slower than its service.
     double slowdown(const EndpointEntry& engine, MonotonicTime now) const;
+    Duration prefillTime(const ServiceId& service, std::int64_t tokens) const;
     Duration prefillTime(const EndpointEntry& engine, std::int64_t tokens, MonotonicTime now) const;
 
 private:
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -204,8 +204,7 @@
 {
     if (!m_state.overload.isOn(m_service))
         return m_deadline;
-    const std::chrono::duration<double, std::milli> prefillTime(static_cast<double>(promptTokens()) / m_state.speeds.tokensPerMs(m_service));
-    return PromptQueue::usefulDeadline(m_message.headArrived, m_route->latencyObjective, std::chrono::duration_cast<Duration>(prefillTime), m_deadline);
+    return PromptQueue::usefulDeadline(m_message.headArrived, m_route->latencyObjective, m_state.speeds.prefillTime(m_service, promptTokens()), m_deadline);
 }
 
 std::int64_t GatewayRequest::promptTokens() const
@@ -360,7 +359,7 @@
     m_sendNumber = ++m_state.sendCount;
     m_sentAt = now;
     m_isSending = true;
-    m_hasFirstEvent = false;
+    m_firstEventAt.reset();
     m_incarnation = endpoint.incarnation;
     m_engine = engineKey(endpoint.id, endpoint.incarnation);
     ++m_sendCount;
@@ -374,7 +373,6 @@
     m_prefillTokens = placement.prefillTokens;
     m_state.advisories.recordSend(instanceOf(endpoint), now);
     recordPaceSend(placement, now);
-    m_firstEventAt.reset();
     if (m_state.versionRollouts) {
         m_judgedEndpoint = endpoint;
         m_isResponseJudged = false;
@@ -414,13 +412,13 @@
     if (placement.isHeldBack)
         m_state.metrics.add(Counter::SendsHeldBack);
     if (m_isPaced)
-        m_state.paces.recordSend({ m_endpoint, m_incarnation, m_service }, now);
+        m_state.paces.recordSend(sentTo(), now);
 }
 
 void GatewayRequest::recordPaceAnswer(MonotonicTime now)
 {
     if (m_isPaced && !std::exchange(m_isPaceAnswerRecorded, true))
-        m_state.paces.recordAnswer({ m_endpoint, m_incarnation, m_service }, now - m_sentAt, m_expectedAnswer, now);
+        m_state.paces.recordAnswer(sentTo(), now - m_sentAt, m_expectedAnswer, now);
 }
 
 void GatewayRequest::recordPaceEnd(SendOutcome outcome, MonotonicTime now)
@@ -429,7 +427,7 @@
         return;
     // The latency of a response that has begun has been recorded.
     const bool isRecorded = outcome == SendOutcome::Served && m_isPaceAnswerRecorded;
-    m_state.paces.recordOutcome({ m_endpoint, m_incarnation, m_service }, isRecorded ? SendOutcome::Abandoned : outcome, now - m_sentAt, m_expectedAnswer, now);
+    m_state.paces.recordOutcome(sentTo(), isRecorded ? SendOutcome::Abandoned : outcome, now - m_sentAt, m_expectedAnswer, now);
 }
 
 void GatewayRequest::startPaceIfFailing(MonotonicTime now)
@@ -497,7 +495,7 @@
         return;
     if (!m_responseMetadata.unreadableAdvice.empty())
         logEvent(LogEvent::AdviceUnreadable, { { "endpoint", m_endpoint.value() }, { "field", m_responseMetadata.unreadableAdvice } });
-    const EndpointInstance endpoint { m_endpoint, m_incarnation, m_service };
+    const auto endpoint = sentTo();
     if (m_responseMetadata.advice.isLeaving && m_state.advisories.recordLeaving(endpoint, now))
         logEvent(LogEvent::EndpointsChanged, { { "endpoint", m_endpoint.value() }, { "state", "leaving" }, { "request", m_metadata.requestId } });
     recordPause(endpoint, now);
@@ -563,14 +561,15 @@
         return;
     m_overdueTimer.clear();
     m_state.loads.answerBegan(m_endpoint, m_sendNumber);
-    if (!m_hasFirstEvent)
-        recordSpeed(MonotonicClock::now());
-    if (!m_hasFirstEvent)
-        recordAnswer(MonotonicClock::now());
-    else
-        m_state.quarantine.engineAnswered(m_engine, m_sentAt, MonotonicClock::now());
+    const auto now = MonotonicClock::now();
+    if (m_firstEventAt)
+        m_state.quarantine.engineAnswered(m_engine, m_sentAt, now);
+    else {
+        recordSpeed(now);
+        recordAnswer(now);
+    }
     if (!m_hasBegunResponse) {
-        m_timeToFirstPiece = MonotonicClock::now() - m_message.headArrived;
+        m_timeToFirstPiece = now - m_message.headArrived;
         m_state.metrics.observe(Latency::TimeToFirstPiece, *m_timeToFirstPiece);
         beginResponse();
     }
@@ -621,9 +620,8 @@
 
 void GatewayRequest::recordAnswer(MonotonicTime now)
 {
-    m_hasFirstEvent = true;
-    recordPaceAnswer(now);
     m_firstEventAt = now;
+    recordPaceAnswer(now);
     logQuarantineChanges(m_state.quarantine.runAnswered(m_sharedParts, now));
     m_state.quarantine.engineAnswered(m_engine, m_sentAt, now);
 }
@@ -631,7 +629,7 @@
 void GatewayRequest::onComplete()
 {
     // A stream without a length ends with its connection, also if the engine crashes before the first event.
-    const bool endsBeforeFirstEvent = m_responseMode == ResponseMode::Streamed && m_responseHead->endsWithConnection && !m_hasFirstEvent;
+    const bool endsBeforeFirstEvent = m_responseMode == ResponseMode::Streamed && m_responseHead->endsWithConnection && !m_firstEventAt;
     if (endsBeforeFirstEvent || m_relay.isInsideEvent()) {
         onRunLost(endsBeforeFirstEvent ? "the stream ended before its first event" : "the stream ended inside an event");
         return;
@@ -741,7 +739,7 @@
 void GatewayRequest::onRunLost(std::string_view reason)
 {
     // A resumed stream may have no events left, and engines have answered its prompt before.
-    if (!m_hasFirstEvent && !m_relay.lastId()) {
+    if (!m_firstEventAt && !m_relay.lastId()) {
         const auto now = MonotonicClock::now();
         logQuarantineChanges(m_state.quarantine.runLost({ runKey(m_metadata.requestId, m_sendCount), m_engine, m_sharedParts, m_responseHead.has_value(), m_sentAt, now }));
     }
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -72,6 +72,8 @@
     PlacementRequest makePlacementRequest(MonotonicTime now) const;
 
     void onHead(HttpResponseHead head);
+    /// Returns the endpoint of the current send.
+    EndpointInstance sentTo() const { return { m_endpoint, m_incarnation, m_service }; }
     void recordLoad(MonotonicTime now);
     /// Records how long the engine took to the first event.
     void recordSpeed(MonotonicTime now);
@@ -149,8 +151,7 @@
     bool m_isSending = false;
     std::optional<EndpointEntry> m_judgedEndpoint; ///< of the current send; set only if version rollouts are on
     bool m_isResponseJudged = false; ///< the response of the current send was recorded
-    std::optional<MonotonicTime> m_firstEventAt; ///< of the current send's response
-    bool m_hasFirstEvent = false; ///< the endpoint has answered the current send with an event or a complete response
+    std::optional<MonotonicTime> m_firstEventAt; ///< when the endpoint answered the current send with an event or a complete response
     std::optional<Duration> m_timeToFirstPiece; ///< measured from the arrival of the request
     std::optional<WeightsVersion> m_requiredWeights;
     std::unique_ptr<HttpExchange> m_exchange;
--- a/src/hornbeamgate/runtime/gateway/gateway_state.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_state.hpp
@@ -81,7 +81,8 @@
     /// Returns what is known of the endpoints, as far as it counts for requests to the service.
     EndpointView viewFor(const ServiceId& service) const
     {
-        return { registry, loads, advisories, blocks, overload.isOn(service) ? &speeds : nullptr, overload.isOn(service) ? &paces : nullptr };
+        const bool isOverloadControlled = overload.isOn(service);
+        return { registry, loads, advisories, blocks, isOverloadControlled ? &speeds : nullptr, isOverloadControlled ? &paces : nullptr };
     }
 
     /// Starts the slow start of an endpoint where overload control is on for its service.
