--- a/tests/untrusted_clients/untrusted_clients.test.cpp
+++ b/tests/untrusted_clients/untrusted_clients.test.cpp
@@ -126,6 +126,21 @@
     }
 };
 
+/// Sends all crowds to an address that serves GET requests for `path`.
+void withstandAllCrowds(Machine& machine, const SocketAddress& server, const std::string& path)
+{
+    const HeadCrowd heads;
+    const BodyCrowd bodies;
+    const ClientScript silent {};
+    const ClientScript unread { {}, "GET " + path + " HTTP/1.1\r\n\r\n", 5000, {}, false };
+    Crowd crowd;
+    heads.join(crowd, server);
+    bodies.join(crowd, server);
+    crowd.add(server, 50, unread);
+    crowd.add(server, 100, silent);
+    machine.withstand(crowd);
+}
+
 } // namespace
 
 // Guards against limits that are lower than those of one request.
@@ -242,31 +257,13 @@
 TEST_CASE("crowds at the admin address do not exhaust the memory or the descriptors [untrusted]")
 {
     Machine machine;
-    const HeadCrowd heads;
-    const BodyCrowd bodies;
-    const ClientScript silent {};
-    const ClientScript unread { {}, "GET /metrics HTTP/1.1\r\n\r\n", 5000, {}, false };
-    Crowd crowd;
-    heads.join(crowd, machine.gateway.admin());
-    bodies.join(crowd, machine.gateway.admin());
-    crowd.add(machine.gateway.admin(), 50, unread);
-    crowd.add(machine.gateway.admin(), 100, silent);
-    machine.withstand(crowd);
+    withstandAllCrowds(machine, machine.gateway.admin(), "/metrics");
 }
 
 TEST_CASE("crowds at the address for other gateways do not exhaust the memory or the descriptors [untrusted]")
 {
     Machine machine;
-    const HeadCrowd heads;
-    const BodyCrowd bodies;
-    const ClientScript silent {};
-    const ClientScript unread { {}, "GET /records/1/0 HTTP/1.1\r\n\r\n", 5000, {}, false };
-    Crowd crowd;
-    heads.join(crowd, machine.gateway.peers());
-    bodies.join(crowd, machine.gateway.peers());
-    crowd.add(machine.gateway.peers(), 50, unread);
-    crowd.add(machine.gateway.peers(), 100, silent);
-    machine.withstand(crowd);
+    withstandAllCrowds(machine, machine.gateway.peers(), "/records/1/0");
 }
 
 TEST_CASE("engines whose response heads never end do not exhaust the memory [untrusted]")
