--- a/src/hornbeamgate/observability/log.cpp
+++ b/src/hornbeamgate/observability/log.cpp
@@ -69,6 +69,7 @@
         EventEntry { LogEvent::RateChanged, "rate_changed", LogLevel::Info },
         EventEntry { LogEvent::CacheDomainsChanged, "cache_domains_changed", LogLevel::Info },
         EventEntry { LogEvent::WeightsNamed, "weights_named", LogLevel::Info },
+        EventEntry { LogEvent::WeightsExpired, "weights_expired", LogLevel::Info },
         EventEntry { LogEvent::WeightsOrdered, "weights_ordered", LogLevel::Info },
         EventEntry { LogEvent::OrderJournalFailed, "order_journal_failed", LogLevel::Warning },
         EventEntry { LogEvent::ObservationsFailed, "observations_failed", LogLevel::Warning },
--- a/src/hornbeamgate/observability/log.hpp
+++ b/src/hornbeamgate/observability/log.hpp
@@ -57,6 +57,7 @@
     CacheDomainsChanged,
     WeightsNamed,
     WeightsOrdered,
+    WeightsExpired,
     OrderJournalFailed,
     ObservationsFailed,
     RolloutOrdered,
--- a/src/hornbeamgate/runtime/gateway/weights_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/weights_task.cpp
@@ -63,9 +63,27 @@
         startOperation(order);
     sendRecordedOrders(now);
     updateJournal(now);
+    logExpiredWeights(now);
     m_timer.set(now + kTickInterval);
 }
 
+void WeightsTask::logExpiredWeights(MonotonicTime now)
+{
+    for (const auto& [model, target] : m_state.weightsRollout.targets()) {
+        const auto oldest = m_state.weightsRollout.oldestAllowed(model, now);
+        if (std::exchange(m_loggedOldest[model], oldest) == oldest)
+            continue;
+        std::size_t engines = 0;
+        std::size_t behind = 0;
+        for (const auto& [id, entry] : m_state.registry.entries()) {
+            const auto known = entry.weights.find(model);
+            engines += known != entry.weights.end() ? 1 : 0;
+            behind += known != entry.weights.end() && known->second < oldest ? 1 : 0;
+        }
+        logEvent(LogEvent::WeightsExpired, { { "model", model.value() }, { "oldest", oldest.value() }, { "engines", engines }, { "behind", behind } });
+    }
+}
+
 void WeightsTask::updateJournal(MonotonicTime now)
 {
     auto& journal = m_state.weightsRollout.journal();
@@ -118,8 +136,9 @@
 void WeightsTask::startOperation(const WeightsOrder& order)
 {
     const auto endpoint = order.endpoint;
+    const auto now = MonotonicClock::now();
     m_operations.erase(endpoint);
-    m_operations.emplace(endpoint, LoadOperation { order, ++m_lastOperationNumber, false, std::nullopt, MonotonicClock::now() + kLoadTimeout, Timer([this, endpoint] { queryState(endpoint); }) });
+    m_operations.emplace(endpoint, LoadOperation { order, ++m_lastOperationNumber, false, now, std::nullopt, now + kLoadTimeout, Timer([this, endpoint] { queryState(endpoint); }) });
     m_peers.announceLoading(endpoint, kLoadingPause);
     queryState(endpoint);
 }
@@ -226,7 +245,7 @@
 void WeightsTask::finishOrder(const EndpointId& endpoint, std::string_view outcome, bool isLoaded)
 {
     const auto found = m_operations.find(endpoint);
-    logEvent(LogEvent::WeightsOrdered, { { "endpoint", endpoint.value() }, { "model", found->second.order.model.value() }, { "version", found->second.order.version.value() }, { "token", found->second.order.token.value() }, { "ordered", found->second.isOrderSent ? 1 : 0 }, { "outcome", outcome } });
+    logEvent(LogEvent::WeightsOrdered, { { "endpoint", endpoint.value() }, { "model", found->second.order.model.value() }, { "version", found->second.order.version.value() }, { "token", found->second.order.token.value() }, { "ordered", found->second.isOrderSent ? 1 : 0 }, { "outcome", outcome }, { "ms", std::chrono::duration_cast<milliseconds>(MonotonicClock::now() - found->second.startedAt).count() } });
     m_state.weightsRollout.finishOrder(endpoint, isLoaded, MonotonicClock::now());
     // The timer may have expired together with the event that ends the operation; it must not fire afterwards.
     found->second.timer.clear();
--- a/src/hornbeamgate/runtime/gateway/weights_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/weights_task.hpp
@@ -19,12 +19,15 @@
         WeightsOrder order;
         std::uint64_t number = 0;
         bool isOrderSent = false;
+        MonotonicTime startedAt {};
         std::optional<std::uint64_t> acceptedOrderCount {}; ///< set while the order waits for the journal
         MonotonicTime deadline {};
         Timer timer;
     };
 
     void tick();
+    /// Logs which weights requests avoid from now on.
+    void logExpiredWeights(MonotonicTime now);
     void updateJournal(MonotonicTime now);
     /// Ends the operations that wait for the journal, because this daemon is not the leader any more.
     void abandonUnsentOrders();
@@ -49,6 +52,7 @@
     HttpCalls m_calls { m_connections };
     std::map<EndpointId, LoadOperation> m_operations;
     std::uint64_t m_lastOperationNumber = 0;
+    std::map<ModelId, WeightsVersion> m_loggedOldest; ///< oldest versions that requests may use, as logged last
     Duration m_suspendedTime;
     Timer m_timer;
 };
