Plan concurrent loads of weights by the bound

Where requests compete for capacity, a fifth of the engines load at a time, whatever the bound is. The bound is 20 s, and only the avoidance of engines with old weights kept the rule.

The leader now measures how long loads take, and lets as many engines load concurrently as are needed for all to be done in three quarters of the bound, a third of them at most as elsewhere. Where a fifth suffices nothing changes, and deployments without overload control are not affected.

--- a/src/hornbeamgate/gateway/weights_rollout.cpp
+++ b/src/hornbeamgate/gateway/weights_rollout.cpp
@@ -1,15 +1,20 @@
 #include "hornbeamgate/gateway/weights_rollout.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hornbeamgate::gateway {
 
 namespace {
 
-    /// One in this many engines loads concurrently. More would slow each other down and leave too few engines to serve.
+    /// At most one in this many engines loads concurrently. More would slow each other down and leave too few engines to serve.
     constexpr std::size_t kEnginesPerConcurrentLoad = 3;
-    /// The same where requests compete for capacity, so that more engines serve while the others load.
+    /// The same where requests compete for capacity and the bound leaves time, so that more engines serve while the others load.
     constexpr std::size_t kEnginesPerLoadIfScarce = 5;
+    /// Part of the bound in which all engines should load; the rest is for a change of the leader and for failed loads.
+    constexpr double kPlannedShare = 0.75;
+    /// Reciprocal weight of one load in the moving average of their times.
+    constexpr int kLoadTimeDivisor = 4;
     /// Delay before an order is retried, doubled with each failure. Without it, an unavailable engine would repeatedly
     /// occupy one of the concurrent loads.
     constexpr std::chrono::milliseconds kInitialRetryDelay { 300 };
@@ -95,26 +100,43 @@
     return oldest;
 }
 
+std::size_t WeightsRollout::concurrentLoads(const ModelId& model, const std::vector<WeightsVersion>& engines, MonotonicTime now) const
+{
+    auto needed = maxConcurrentLoads(engines.size(), m_isCapacityScarce);
+    const auto named = m_targetHistory.find(model);
+    if (named == m_targetHistory.end() || m_loadTime == Duration::zero())
+        return needed;
+    for (const auto& target : named->second) {
+        const auto behind = std::count_if(engines.begin(), engines.end(), [&target](auto version) { return version < target.version; });
+        const auto plannedEnd = target.at + std::chrono::duration_cast<Duration>(m_bound * kPlannedShare);
+        const std::chrono::duration<double> timeLeft = std::max<Duration>(plannedEnd - now, m_loadTime);
+        const auto loads = static_cast<double>(behind) * (std::chrono::duration<double>(m_loadTime) / timeLeft);
+        needed = std::max(needed, static_cast<std::size_t>(std::ceil(loads)));
+    }
+    return std::min(needed, maxConcurrentLoads(engines.size()));
+}
+
 std::vector<WeightsOrder> WeightsRollout::takeDue(const EndpointRegistry& registry, const EndpointAdvisories& advisories, MonotonicTime now)
 {
     std::vector<WeightsOrder> due;
     if (!isConfirmed(now) || !m_journal.isOwned())
         return due;
     for (const auto& [model, target] : m_targets) {
-        std::size_t engines = 0;
+        std::vector<WeightsVersion> engines;
         std::vector<const EndpointEntry*> outdated;
         for (const auto& [id, entry] : registry.entries()) {
             const auto known = entry.weights.find(model);
             if (known == entry.weights.end())
                 continue;
-            ++engines;
+            engines.push_back(known->second);
             if (known->second < target && !entry.isLeaving && !advisories.isLeaving(instanceOf(entry)) && !advisories.isPaused(instanceOf(entry), now))
                 outdated.push_back(&entry);
         }
         // Targets may change faster than all engines can load, so engines with the oldest weights come first.
         std::stable_sort(outdated.begin(), outdated.end(), [&model = model](const auto* left, const auto* right) { return left->weights.at(model) < right->weights.at(model); });
+        const auto limit = concurrentLoads(model, engines, now);
         for (const auto* entry : outdated) {
-            if (m_inProgress.size() >= maxConcurrentLoads(engines, m_isCapacityScarce))
+            if (m_inProgress.size() >= limit)
                 break;
             const auto retry = m_retries.find(entry->id);
             if (m_journal.isBlocked(entry->id, now) || m_inProgress.contains(entry->id) || (retry != m_retries.end() && now < retry->second.at))
@@ -141,6 +163,11 @@
     ++retry.failures;
 }
 
+void WeightsRollout::recordLoadTime(Duration time)
+{
+    m_loadTime = m_loadTime == Duration::zero() ? time : m_loadTime + (time - m_loadTime) / kLoadTimeDivisor;
+}
+
 std::size_t WeightsRollout::maxConcurrentLoads(std::size_t engines, bool isCapacityScarce)
 {
     return std::max<std::size_t>(1, engines / (isCapacityScarce ? kEnginesPerLoadIfScarce : kEnginesPerConcurrentLoad));
--- a/src/hornbeamgate/gateway/weights_rollout.hpp
+++ b/src/hornbeamgate/gateway/weights_rollout.hpp
@@ -33,8 +33,8 @@
 /// orders. A leader whose membership is not confirmed in time stops by itself, and the order journal names the engines for
 /// which a new leader must wait. Two daemons therefore never send orders to one engine within a lease.
 ///
-/// Designed for new weights every few seconds under continuous traffic, so that only some engines load concurrently, and
-/// for leaders that are frozen or die while engines load.
+/// Designed for new weights every few seconds under continuous traffic, so that only some engines load concurrently, for
+/// loads that take a good part of the bound, and for leaders that are frozen or die while engines load.
 class WeightsRollout {
 public:
     /// No request should start on older weights later than `bound` after newer weights were set as the target.
@@ -74,6 +74,8 @@
 
     /// Ends an order. An engine that still lacks the weights becomes due again after a delay that grows with each failure.
     void finishOrder(const EndpointId& endpoint, bool isLoaded, MonotonicTime now);
+    /// Records how long an ordered load took, with the requests that the engine finished before it.
+    void recordLoadTime(Duration time);
 
     /// Returns how many of `engines` engines may load weights concurrently.
     static std::size_t maxConcurrentLoads(std::size_t engines, bool isCapacityScarce = false);
@@ -91,7 +93,11 @@
         int failures = 0;
     };
 
+    /// Returns how many of the engines with these weights have to load concurrently so that all have the targets in time.
+    std::size_t concurrentLoads(const ModelId& model, const std::vector<WeightsVersion>& engines, MonotonicTime now) const;
+
     Duration m_bound;
+    Duration m_loadTime {}; ///< moving average; zero until the first load
     OrderJournal m_journal;
     std::map<ModelId, std::vector<TargetChange>> m_targetHistory; ///< by version
     std::map<ModelId, WeightsVersion> m_targets;
--- a/src/hornbeamgate/runtime/gateway/weights_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/weights_task.cpp
@@ -185,6 +185,8 @@
     if (known != report->weights.end() && known->second >= operation->order.version) {
         m_peers.announceLoaded({ endpoint, known->first, known->second });
         m_state.loads.resume(endpoint);
+        if (operation->isOrderSent)
+            m_state.weightsRollout.recordLoadTime(MonotonicClock::now() - operation->startedAt);
         finishOrder(endpoint, "in place", true);
         return;
     }
--- a/tests/gateway/weights_rollout.test.cpp
+++ b/tests/gateway/weights_rollout.test.cpp
@@ -218,3 +218,47 @@
     CHECK(rollout.takeDue(registry, advisories, at(1999ms)).empty());
     CHECK(rollout.takeDue(registry, advisories, at(2001ms)).size() == 1);
 }
+
+TEST_CASE("Guards against rollouts that take longer than the bound where few engines load at once [weights]")
+{
+    // 44 engines whose loads take 4.2 s with the requests that they finish before, eight at a time where capacity is scarce.
+    constexpr auto kLongBound = 20s;
+    constexpr auto kLoad = 4200ms;
+    auto registry = registryOf(44);
+    WeightsRollout rollout(HostId("front-1"), kLease, kLongBound);
+    rollout.setCapacityScarce(true);
+    rollout.confirm(FencingToken(7), at(1h), at(-10s));
+    completeJournalCall(rollout, recordOf(3, {}), at(-10s));
+    completeJournalCall(rollout, recordOf(3, {}), at(-10s));
+    rollout.setTarget(kModel, WeightsVersion(2), at(0ms));
+    std::map<EndpointId, MonotonicTime> loadEnds;
+    std::size_t mostAtOnce = 0;
+    for (auto now = at(0ms); now < at(kLongBound); now += 50ms) {
+        for (const auto& order : rollout.takeDue(registry, kNoAdvice, now))
+            loadEnds[order.endpoint] = now + kLoad;
+        mostAtOnce = std::max(mostAtOnce, loadEnds.size());
+        for (auto load = loadEnds.begin(); load != loadEnds.end();) {
+            if (load->second > now) {
+                ++load;
+                continue;
+            }
+            registry.recordWeights(load->first, kModel, WeightsVersion(2));
+            rollout.recordLoadTime(kLoad);
+            rollout.finishOrder(load->first, true, now);
+            load = loadEnds.erase(load);
+        }
+    }
+    for (const auto& [id, entry] : registry.entries())
+        CHECK(entry.weights.at(kModel) == WeightsVersion(2));
+    CHECK(mostAtOnce <= WeightsRollout::maxConcurrentLoads(44));
+}
+
+TEST_CASE("few engines load at once where capacity is scarce and the bound leaves time [weights]")
+{
+    const auto registry = registryOf(44);
+    auto rollout = leaderSince(at(-10s));
+    rollout.setCapacityScarce(true);
+    rollout.recordLoadTime(700ms);
+    rollout.setTarget(kModel, WeightsVersion(2), at(0ms));
+    CHECK(rollout.takeDue(registry, kNoAdvice, at(0ms)).size() == WeightsRollout::maxConcurrentLoads(44, true));
+}
