Send no requests to engines whose weights are past their bound

Engines with overdue weights were avoided only while they were the minority. The clause was meant for an outage of the store, in which no weights can be rolled out.

Whether a version could be rolled out is now told apart: the bound counts from when the gateway regained the store. Engines past it get no requests, however many they are; the preference among the others stays. A gateway that starts counts it from then until it hears the age of the version.

Ruled out: gateways that learn of versions late (all knew each within 60 ms) and wrong beliefs about engines (newer weights were recorded only after the violations). The test of the placement fails without the change.

--- a/src/hornbeamgate/gateway/placement.cpp
+++ b/src/hornbeamgate/gateway/placement.cpp
@@ -167,7 +167,8 @@
     for (const auto& [id, entry] : view.registry.entries()) {
         if (entry.service != request.service || entry.isLeaving || view.advisories.isLeaving(instanceOf(entry)))
             continue;
-        if (!request.versions || request.versions->allows(entry))
+        const bool hasExpiredWeights = weightsOf(entry, request) < request.oldestSendable;
+        if (!hasExpiredWeights && (!request.versions || request.versions->allows(entry)))
             entries.push_back(&entry);
     }
     const auto isOverdue = [&request](const auto* entry) { return weightsOf(*entry, request) < request.oldestWeights; };
--- a/src/hornbeamgate/gateway/placement.hpp
+++ b/src/hornbeamgate/gateway/placement.hpp
@@ -32,6 +32,7 @@
     std::optional<ModelId> model;
     WeightsVersion newestWeights; ///< of the model
     WeightsVersion oldestWeights; ///< oldest version of the model that may be used, unless other endpoints answer much sooner
+    WeightsVersion oldestSendable; ///< endpoints with older weights are not used at all
     std::set<EndpointId> tried; ///< endpoints to which the request was already sent
     Duration timeLeft {};
     /// Time left until the latency objective; set where requests compete for capacity, so that engines are compared by what
--- a/src/hornbeamgate/gateway/weights_rollout.cpp
+++ b/src/hornbeamgate/gateway/weights_rollout.cpp
@@ -52,14 +52,16 @@
     if (version <= target)
         return;
     target = version;
-    m_targetHistory[model].push_back({ version, now });
+    m_targetHistory[model].push_back({ version, now, now });
 }
 
 void WeightsRollout::setTargetOfUnknownAge(const ModelId& model, WeightsVersion version, MonotonicTime now)
 {
     setTarget(model, version, now - m_bound);
-    if (auto& history = m_targetHistory[model]; !history.empty() && history.back().version == version)
+    if (auto& history = m_targetHistory[model]; !history.empty() && history.back().version == version) {
         history.back().isAgeKnown = false;
+        history.back().knownSince = now;
+    }
 }
 
 void WeightsRollout::onTargetAge(const TargetAge& target, MonotonicTime now)
@@ -70,6 +72,7 @@
     for (auto& entry : history->second) {
         if (entry.version == target.version && !entry.isAgeKnown) {
             entry.at = now - target.age;
+            entry.knownSince = entry.at;
             entry.isAgeKnown = true;
         }
     }
@@ -100,6 +103,19 @@
     return oldest;
 }
 
+WeightsVersion WeightsRollout::oldestSendable(const ModelId& model, MonotonicTime now) const
+{
+    WeightsVersion oldest;
+    const auto named = m_targetHistory.find(model);
+    if (named == m_targetHistory.end())
+        return oldest;
+    for (const auto& target : named->second) {
+        if (boundEnd(target) - kMaxQueueTime <= now)
+            oldest = target.version;
+    }
+    return oldest;
+}
+
 std::size_t WeightsRollout::concurrentLoads(const ModelId& model, const std::vector<WeightsVersion>& engines, MonotonicTime now) const
 {
     auto needed = maxConcurrentLoads(engines.size(), m_isCapacityScarce);
--- a/src/hornbeamgate/gateway/weights_rollout.hpp
+++ b/src/hornbeamgate/gateway/weights_rollout.hpp
@@ -4,6 +4,7 @@
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
 #include "hornbeamgate/gateway/order_journal.hpp"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <vector>
@@ -58,8 +59,14 @@
     void onTargetAge(const TargetAge& target, MonotonicTime now);
     /// Returns the newest targets whose age is known.
     std::vector<TargetAge> targetAges(MonotonicTime now) const;
-    /// Returns the newest version that has been a target for so long that requests on older weights would exceed the bound.
+    /// Returns the newest version that has been a target for so long that requests on older weights would exceed the bound,
+    /// whether or not it could be rolled out meanwhile.
     WeightsVersion oldestAllowed(const ModelId& model, MonotonicTime now) const;
+    /// Returns the newest version that has been a target for so long while the store was available. Requests must not be sent
+    /// to engines with older weights, even if there are no others.
+    WeightsVersion oldestSendable(const ModelId& model, MonotonicTime now) const;
+    /// The store was not available until `now`, so no leader could record its orders. The bounds count from now.
+    void storeRegained(MonotonicTime now) { m_storeAvailableSince = now; }
     const std::map<ModelId, WeightsVersion>& targets() const { return m_targets; }
 
     /// Returns the orders to prepare now. Each remains in progress until `finishOrder` is called.
@@ -86,6 +93,7 @@
     struct TargetChange {
         WeightsVersion version;
         MonotonicTime at;
+        MonotonicTime knownSince; ///< later than `at` while the age is unknown
         bool isAgeKnown = true;
     };
     struct Retry {
@@ -93,10 +101,13 @@
         int failures = 0;
     };
 
+    /// Returns when requests must not begin on older weights any more.
+    MonotonicTime boundEnd(const TargetChange& target) const { return std::max(target.knownSince, m_storeAvailableSince) + m_bound; }
     /// Returns how many of the engines with these weights have to load concurrently so that all have the targets in time.
     std::size_t concurrentLoads(const ModelId& model, const std::vector<WeightsVersion>& engines, MonotonicTime now) const;
 
     Duration m_bound;
+    MonotonicTime m_storeAvailableSince {};
     Duration m_loadTime {}; ///< moving average; zero until the first load
     OrderJournal m_journal;
     std::map<ModelId, std::vector<TargetChange>> m_targetHistory; ///< by version
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -119,6 +119,7 @@
     const int failures = current.poll.failuresInRow();
     if (failures >= kFailuresUntilLost) {
         logEvent(LogEvent::DependencyRegained, { { "dependency", "store" }, { "topic", topicName(topic) }, { "failed_calls", failures } });
+        m_state.weightsRollout.storeRegained(now);
         if (topic == DirectoryTopic::Endpoints)
             m_state.registry.directoryRecovered(now);
     }
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -169,6 +169,7 @@
         if (target != targets.end())
             placementRequest.newestWeights = target->second;
         placementRequest.oldestWeights = m_state.weightsRollout.oldestAllowed(*m_metadata.model, now);
+        placementRequest.oldestSendable = m_state.weightsRollout.oldestSendable(*m_metadata.model, now);
     }
     return placementRequest;
 }
--- a/src/hornbeamgate/runtime/gateway/weights_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/weights_task.cpp
@@ -80,7 +80,7 @@
             engines += known != entry.weights.end() ? 1 : 0;
             behind += known != entry.weights.end() && known->second < oldest ? 1 : 0;
         }
-        logEvent(LogEvent::WeightsExpired, { { "model", model.value() }, { "oldest", oldest.value() }, { "engines", engines }, { "behind", behind } });
+        logEvent(LogEvent::WeightsExpired, { { "model", model.value() }, { "oldest", oldest.value() }, { "oldest_sendable", m_state.weightsRollout.oldestSendable(model, now).value() }, { "engines", engines }, { "behind", behind } });
     }
 }
 
--- a/tests/gateway/placement.test.cpp
+++ b/tests/gateway/placement.test.cpp
@@ -548,3 +548,22 @@
     request.versions.reset();
     CHECK(placer.choose(request, view, at(1ms)).endpoint != EndpointId("e100"));
 }
+
+TEST_CASE("Guards against requests on weights past their bound while most engines have weights that are only avoided [placement]")
+{
+    // A newer version comes near its bound, so that most engines are to be avoided; one of them is past the bound of the version before.
+    const EndpointLoads loads;
+    auto placer = placerAt("a");
+    auto request = shortPrompt();
+    request.newestWeights = WeightsVersion(3);
+    request.oldestWeights = WeightsVersion(3);
+    request.oldestSendable = WeightsVersion(2);
+    EndpointRegistry registry;
+    registry.put(engine(1, "a", 1));
+    registry.put(engine(2, "c", 2));
+    registry.put(engine(3, "c", 3));
+    request.tried = { EndpointId("e103") };
+    CHECK(placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(0ms)).endpoint == EndpointId("e102"));
+    request.tried.insert(EndpointId("e102"));
+    CHECK_FALSE(placer.choose(request, { registry, loads, kNoAdvice, kNoBlocks }, at(0ms)).endpoint);
+}
--- a/tests/gateway/weights_rollout.test.cpp
+++ b/tests/gateway/weights_rollout.test.cpp
@@ -262,3 +262,25 @@
     rollout.setTarget(kModel, WeightsVersion(2), at(0ms));
     CHECK(rollout.takeDue(registry, kNoAdvice, at(0ms)).size() == WeightsRollout::maxConcurrentLoads(44, true));
 }
+
+TEST_CASE("requests must not be sent to engines past the bound, unless the store was not available meanwhile [weights]")
+{
+    WeightsRollout rollout(HostId("front-1"), kLease, kBound);
+    rollout.setTarget(kModel, WeightsVersion(2), at(0ms));
+    CHECK(rollout.oldestSendable(kModel, at(7900ms)) == WeightsVersion());
+    CHECK(rollout.oldestSendable(kModel, at(8s)) == WeightsVersion(2));
+    rollout.storeRegained(at(5s));
+    CHECK(rollout.oldestSendable(kModel, at(12900ms)) == WeightsVersion());
+    CHECK(rollout.oldestSendable(kModel, at(13s)) == WeightsVersion(2));
+    CHECK(rollout.oldestAllowed(kModel, at(8s)) == WeightsVersion(2));
+}
+
+TEST_CASE("a starting gateway serves on weights before a target of unknown age until their bound from now [weights]")
+{
+    WeightsRollout starting(HostId("front-1"), kLease, kBound);
+    starting.setTargetOfUnknownAge(kModel, WeightsVersion(4), at(20s));
+    CHECK(starting.oldestSendable(kModel, at(20s)) == WeightsVersion());
+    CHECK(starting.oldestSendable(kModel, at(28s)) == WeightsVersion(4));
+    starting.onTargetAge({ kModel, WeightsVersion(4), 8s }, at(21s));
+    CHECK(starting.oldestSendable(kModel, at(21s)) == WeightsVersion(4));
+}
