Call off requests that wait at an engine past the bound of its weights

A longer margin would leave engines unused for all requests because of a few.

A request whose response has not begun half a second before the bound is now called off. Where it may be repeated it goes to another engine, else it is answered 502, as it may just have begun. "Guards against requests that wait at an engine until the bound" fails without the change.

--- a/src/hornbeamgate/gateway/weights_rollout.cpp
+++ b/src/hornbeamgate/gateway/weights_rollout.cpp
@@ -19,8 +19,10 @@
     /// occupy one of the concurrent loads.
     constexpr std::chrono::milliseconds kInitialRetryDelay { 300 };
     constexpr int kMaxDoublings = 3;
-    /// Longest time that a request may wait in an engine's queue.
+    /// Time that a request usually waits in an engine's queue at most. Those that wait longer are called off.
     constexpr std::chrono::milliseconds kMaxQueueTime { 2000 };
+    /// Time for a request that is called off to leave the engine's queue.
+    constexpr std::chrono::milliseconds kCancellationTime { 500 };
 
 } // namespace
 
@@ -116,6 +118,15 @@
     return oldest;
 }
 
+std::optional<MonotonicTime> WeightsRollout::latestBegin(const ModelId& model, WeightsVersion weights) const
+{
+    const auto named = m_targetHistory.find(model);
+    if (named == m_targetHistory.end())
+        return std::nullopt;
+    const auto first = std::find_if(named->second.begin(), named->second.end(), [weights](const auto& target) { return target.version > weights; });
+    return first == named->second.end() ? std::nullopt : std::optional(boundEnd(*first) - kCancellationTime);
+}
+
 std::size_t WeightsRollout::concurrentLoads(const ModelId& model, const std::vector<WeightsVersion>& engines, MonotonicTime now) const
 {
     auto needed = maxConcurrentLoads(engines.size(), m_isCapacityScarce);
--- a/src/hornbeamgate/gateway/weights_rollout.hpp
+++ b/src/hornbeamgate/gateway/weights_rollout.hpp
@@ -65,6 +65,8 @@
     /// Returns the newest version that has been a target for so long while the store was available. Requests must not be sent
     /// to engines with older weights, even if there are no others.
     WeightsVersion oldestSendable(const ModelId& model, MonotonicTime now) const;
+    /// Returns until when a request that waits at an engine with `weights` may begin there.
+    std::optional<MonotonicTime> latestBegin(const ModelId& model, WeightsVersion weights) const;
     /// The store was not available until `now`, so no leader could record its orders. The bounds count from now.
     void storeRegained(MonotonicTime now) { m_storeAvailableSince = now; }
     const std::map<ModelId, WeightsVersion>& targets() const { return m_targets; }
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -73,6 +73,7 @@
     , m_body(std::make_shared<const std::string>(std::exchange(m_message.body, {})))
     , m_deadlineTimer([this] { onDeadline(); })
     , m_overdueTimer([this] { onOverdue(); })
+    , m_weightsTimer([this] { onWeightsExpired(); })
     , m_callerTimer([this] { resumeReadingIfDrained(); })
 {
 }
@@ -403,6 +404,8 @@
         const double part = m_route->isStreaming ? 1.0 : kOverdueFraction;
         m_overdueTimer.set(now + std::chrono::duration_cast<Duration>(m_route->latencyObjective * part));
     }
+    if (const auto latest = latestBegin(); latest && *latest < m_deadline)
+        m_weightsTimer.set(*latest);
 }
 
 void GatewayRequest::recordPaceSend(const Placement& placement, MonotonicTime now)
@@ -788,6 +791,30 @@
     resend("overdue");
 }
 
+std::optional<MonotonicTime> GatewayRequest::latestBegin() const
+{
+    const auto* entry = m_state.registry.find(m_endpoint);
+    if (!m_metadata.model || !entry || entry->incarnation != m_incarnation)
+        return std::nullopt;
+    const auto weights = entry->weights.find(*m_metadata.model);
+    return weights == entry->weights.end() ? std::nullopt : m_state.weightsRollout.latestBegin(*m_metadata.model, weights->second);
+}
+
+void GatewayRequest::onWeightsExpired()
+{
+    if (!m_isSending || m_responseHead)
+        return;
+    const auto latest = latestBegin();
+    if (!latest)
+        return;
+    if (*latest > MonotonicClock::now()) {
+        m_weightsTimer.set(*latest);
+        return;
+    }
+    endSend(SendOutcome::Abandoned);
+    onPossiblyExecuted("waited too long at an engine with old weights");
+}
+
 void GatewayRequest::onDeadline()
 {
     if (m_isSending) {
@@ -827,6 +854,7 @@
     m_isSending = false;
     m_exchange.reset();
     m_overdueTimer.clear();
+    m_weightsTimer.clear();
     const auto now = MonotonicClock::now();
     m_state.loads.finished(m_endpoint, m_sendNumber, outcome, now);
     recordPaceEnd(outcome, now);
@@ -884,6 +912,7 @@
     m_queueTicket.release();
     m_deadlineTimer.clear();
     m_overdueTimer.clear();
+    m_weightsTimer.clear();
     m_callerTimer.clear();
     // The request lives on until its response is sent, which a slow caller may delay.
     m_body.reset();
--- a/src/hornbeamgate/runtime/gateway/gateway_request.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.hpp
@@ -92,6 +92,10 @@
     void recordAnswer(MonotonicTime now);
     void onDeadline();
     void onOverdue();
+    /// Calls the current send off if it still waits at an engine on whose weights it may not begin any more.
+    void onWeightsExpired();
+    /// Returns until when the current send may begin on the weights that its endpoint has now.
+    std::optional<MonotonicTime> latestBegin() const;
     /// Unsent bytes above which reading from the endpoint is paused.
     std::size_t maxUnsentBytes() const;
     void pauseReadingIfBacklogged();
@@ -164,6 +168,7 @@
 
     Timer m_deadlineTimer;
     Timer m_overdueTimer;
+    Timer m_weightsTimer;
     Timer m_callerTimer;
 };
 
--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -788,3 +788,38 @@
     CHECK(fixture.has(event(0)));
     CHECK_FALSE(fixture.has("HTTP/1.1 503"));
 }
+
+TEST_CASE("Guards against requests that wait at an engine until the bound of its weights has passed [request]")
+{
+    GatewayFixture fixture;
+    fixture.addModel("m", 1);
+    fixture.addFallback();
+    auto loaded = *fixture.state.registry.find(EndpointId("e2"));
+    loaded.weights[ModelId("m")] = WeightsVersion(2);
+    fixture.state.registry.put(loaded);
+    // The engine with old weights may still be used for a moment when the request is sent to it.
+    const auto bound = fixture.settings.weightsBound;
+    const auto named = MonotonicClock::now() - bound + 2200ms;
+    fixture.state.weightsRollout.setTarget(ModelId("m"), WeightsVersion(2), named);
+    fixture.request("/stream/a", "Authorization: Bearer key\r\nX-Hornbeamgate-Model: m\r\n");
+    fixture.first.waitFor(0, "hi");
+    fixture.second.waitFor(0, "hi");
+    CHECK(MonotonicClock::now() < named + bound);
+    REQUIRE(runUntil([&] { return fixture.first.hasEnded(0); }));
+    fixture.second.send(0, responseHead(200, std::string(kSigned) + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n" + event(1)));
+    fixture.waitFor(event(1));
+}
+
+TEST_CASE("a request that has begun at an engine is not called off when the bound of its weights passes [request]")
+{
+    GatewayFixture fixture;
+    fixture.addModel("m", 1);
+    const auto bound = fixture.settings.weightsBound;
+    const auto named = MonotonicClock::now() - bound + 2100ms;
+    fixture.state.weightsRollout.setTarget(ModelId("m"), WeightsVersion(2), named);
+    fixture.request("/stream/a", "Authorization: Bearer key\r\nX-Hornbeamgate-Model: m\r\n");
+    fixture.first.waitFor(0, "hi");
+    fixture.first.send(0, responseHead(200, std::string(kSigned) + kChunked));
+    runFor(2200ms);
+    CHECK_FALSE(fixture.first.hasEnded(0));
+}
