Tell starting gateways the bounds of earlier versions

The store has only the newest version of a model, and gateways told each other only the age of that one.

Reports now have the ages of all versions whose bounds matter until the newest one's has passed, and a gateway takes over those that it does not know. The test "gateways that start between two versions" fails without the change.

--- a/src/hornbeamgate/gateway/weights_rollout.cpp
+++ b/src/hornbeamgate/gateway/weights_rollout.cpp
@@ -60,34 +60,43 @@
 void WeightsRollout::setTargetOfUnknownAge(const ModelId& model, WeightsVersion version, MonotonicTime now)
 {
     setTarget(model, version, now - m_bound);
-    if (auto& history = m_targetHistory[model]; !history.empty() && history.back().version == version) {
-        history.back().isAgeKnown = false;
-        history.back().knownSince = now;
+    const auto found = m_targetHistory.find(model);
+    if (found != m_targetHistory.end() && found->second.back().version == version) {
+        found->second.back().isAgeKnown = false;
+        found->second.back().knownSince = now;
     }
 }
 
 void WeightsRollout::onTargetAge(const TargetAge& target, MonotonicTime now)
 {
-    const auto history = m_targetHistory.find(target.model);
-    if (history == m_targetHistory.end())
+    const auto found = m_targetHistory.find(target.model);
+    if (found == m_targetHistory.end())
         return;
-    for (auto& entry : history->second) {
-        if (entry.version == target.version && !entry.isAgeKnown) {
-            entry.at = now - target.age;
-            entry.knownSince = entry.at;
-            entry.isAgeKnown = true;
-        }
-    }
+    auto& history = found->second;
+    const auto entry = std::find_if(history.begin(), history.end(), [&target](const auto& known) { return known.version >= target.version; });
+    // A newer target is taken from the store alone.
+    if (entry == history.end())
+        return;
+    const TargetChange change { target.version, now - target.age, now - target.age };
+    if (entry->version != target.version)
+        history.insert(entry, change);
+    else if (!entry->isAgeKnown)
+        *entry = change;
 }
 
 std::vector<TargetAge> WeightsRollout::targetAges(MonotonicTime now) const
 {
     std::vector<TargetAge> ages;
     for (const auto& [model, history] : m_targetHistory) {
-        const auto& newest = history.back();
-        // An older target is beyond its bound on every daemon.
-        if (newest.isAgeKnown && now < newest.at + m_bound)
-            ages.push_back({ model, newest.version, std::chrono::ceil<std::chrono::milliseconds>(now - newest.at) });
+        // Once the newest target is beyond its bound, nothing older matters, and every daemon takes it for expired.
+        if (now >= history.back().at + m_bound)
+            continue;
+        for (auto target = history.rbegin(); target != history.rend(); ++target) {
+            if (target->isAgeKnown)
+                ages.push_back({ model, target->version, std::chrono::ceil<std::chrono::milliseconds>(now - target->at) });
+            if (now >= target->at + m_bound)
+                break;
+        }
     }
     return ages;
 }
--- a/src/hornbeamgate/gateway/weights_rollout.hpp
+++ b/src/hornbeamgate/gateway/weights_rollout.hpp
@@ -57,7 +57,8 @@
     /// saw it being set reports its age.
     void setTargetOfUnknownAge(const ModelId& model, WeightsVersion version, MonotonicTime now);
     void onTargetAge(const TargetAge& target, MonotonicTime now);
-    /// Returns the newest targets whose age is known.
+    /// Returns the ages of the newest targets and of those before them whose bounds still matter. A starting daemon finds only
+    /// the newest one in the store.
     std::vector<TargetAge> targetAges(MonotonicTime now) const;
     /// Returns the newest version that has been a target for so long that requests on older weights would exceed the bound,
     /// whether or not it could be rolled out meanwhile.
--- a/tests/gateway/weights_rollout.test.cpp
+++ b/tests/gateway/weights_rollout.test.cpp
@@ -284,3 +284,25 @@
     starting.onTargetAge({ kModel, WeightsVersion(4), 8s }, at(21s));
     CHECK(starting.oldestSendable(kModel, at(21s)) == WeightsVersion(4));
 }
+
+TEST_CASE("Guards against gateways that start between two versions and forget the bound of the first [weights]")
+{
+    WeightsRollout informed(HostId("front-1"), kLease, kBound);
+    informed.setTarget(kModel, WeightsVersion(2), at(0ms));
+    informed.setTarget(kModel, WeightsVersion(3), at(6s));
+    WeightsRollout starting(HostId("front-2"), kLease, kBound);
+    starting.setTargetOfUnknownAge(kModel, WeightsVersion(3), at(9s));
+    for (const auto& target : informed.targetAges(at(9s)))
+        starting.onTargetAge(target, at(9s));
+    CHECK(starting.oldestAllowed(kModel, at(9s)) == WeightsVersion(2));
+    CHECK(starting.oldestSendable(kModel, at(9s)) == WeightsVersion(2));
+    CHECK(starting.oldestAllowed(kModel, at(14s)) == WeightsVersion(3));
+
+    // Also if the bound of the first has passed before the start.
+    WeightsRollout late(HostId("front-3"), kLease, kBound);
+    late.setTargetOfUnknownAge(kModel, WeightsVersion(3), at(13s));
+    for (const auto& target : informed.targetAges(at(13s)))
+        late.onTargetAge(target, at(13s));
+    CHECK(late.oldestSendable(kModel, at(13s)) == WeightsVersion(2));
+    CHECK(informed.targetAges(at(16s)).empty());
+}
