Ignore entries of endpoints that are older than those known

A directory that comes back from an older copy lists engines as ready that had said that they leave, and engines that were removed. The registry compared only incarnations, so such an engine got requests again until it wrote its state anew, long after its leaving had been acknowledged (DRAIN).

Entries carry the number that the engine gives them. One with a lower number of the same incarnation is ignored; of a removed endpoint also the one that was known last. An engine whose entry expired in an outage comes back with a higher number. Entries without a number, or without an incarnation, are compared as before.

--- a/src/hornbeamgate/gateway/endpoint_registry.cpp
+++ b/src/hornbeamgate/gateway/endpoint_registry.cpp
@@ -4,12 +4,35 @@
 
 namespace hornbeamgate::gateway {
 
+namespace {
+
+    /// Returns whether the sequence of `entry` can be compared with one of `incarnation`.
+    bool isSameProcess(const EndpointEntry& entry, Incarnation incarnation)
+    {
+        return entry.incarnation == incarnation && incarnation != Incarnation() && entry.sequence > 0;
+    }
+
+} // namespace
+
+bool EndpointRegistry::isOutdated(const EndpointEntry& entry) const
+{
+    if (const auto known = m_entries.find(entry.id); known != m_entries.end()) {
+        const auto& current = known->second;
+        return entry.incarnation < current.incarnation || (isSameProcess(entry, current.incarnation) && entry.sequence < current.sequence);
+    }
+    const auto removed = m_removed.find(entry.id);
+    if (removed == m_removed.end())
+        return false;
+    const auto& last = removed->second;
+    return entry.incarnation < last.incarnation || (isSameProcess(entry, last.incarnation) && entry.sequence <= last.sequence);
+}
+
 void EndpointRegistry::put(EndpointEntry entry)
 {
-    const auto found = m_entries.find(entry.id);
-    if (found != m_entries.end() && entry.incarnation < found->second.incarnation)
+    if (isOutdated(entry))
         return;
     m_withdrawn.erase(entry.id);
+    m_removed.erase(entry.id);
     const auto id = entry.id;
     m_entries.insert_or_assign(id, std::move(entry));
 }
@@ -23,10 +46,18 @@
         return false;
     }
     m_withdrawn.erase(id);
-    m_entries.erase(id);
+    remove(id, now);
     return true;
 }
 
+void EndpointRegistry::remove(const EndpointId& id, MonotonicTime now)
+{
+    std::erase_if(m_removed, [now](const auto& entry) { return entry.second.forgetAt <= now; });
+    const auto& last = m_entries.at(id);
+    m_removed.insert_or_assign(id, Removed { last.incarnation, last.sequence, now + kRemovedRetention });
+    m_entries.erase(id);
+}
+
 void EndpointRegistry::replaceAll(std::vector<EndpointEntry> entries, MonotonicTime now)
 {
     std::set<EndpointId> listed;
@@ -52,7 +83,7 @@
             continue;
         }
         dropped.push_back(entry->first);
-        m_entries.erase(entry->first);
+        remove(entry->first, now);
         entry = m_withdrawn.erase(entry);
     }
     return dropped;
--- a/src/hornbeamgate/gateway/endpoint_registry.hpp
+++ b/src/hornbeamgate/gateway/endpoint_registry.hpp
@@ -15,6 +15,7 @@
 struct EndpointEntry {
     EndpointId id;
     Incarnation incarnation; ///< start time of the process as a Unix time in milliseconds
+    std::uint64_t sequence = 0; ///< number of this entry within the incarnation; 0 if not stated
     ServiceId service;
     std::string version; ///< of the software; empty if not stated
     SocketAddress address;
@@ -33,8 +34,14 @@
 public:
     /// Endpoints whose entries expired during an outage register again within two seconds of its end.
     static constexpr std::chrono::milliseconds kReregistrationGrace { 2200 };
+    /// Removed endpoints are remembered for longer than a copy of the directory is old.
+    static constexpr std::chrono::minutes kRemovedRetention { 10 };
 
-    /// Adds or replaces the entry of an endpoint. An entry of an older incarnation is ignored.
+    /// Returns whether `entry` is older than what is known of its endpoint, or not newer than the last entry before the
+    /// endpoint's removal. A directory that has come back from an older copy lists such entries.
+    bool isOutdated(const EndpointEntry& entry) const;
+
+    /// Adds or replaces the entry of an endpoint. An outdated entry is ignored.
     void put(EndpointEntry entry);
 
     /// Handles the withdrawal of an entry. Returns true if the endpoint was removed immediately.
@@ -57,7 +64,17 @@
 
 private:
     std::map<EndpointId, EndpointEntry> m_entries;
+    /// Last entry of an endpoint that was removed.
+    struct Removed {
+        Incarnation incarnation;
+        std::uint64_t sequence = 0;
+        MonotonicTime forgetAt {};
+    };
+
+    void remove(const EndpointId& id, MonotonicTime now);
+
     std::map<EndpointId, MonotonicTime> m_withdrawn; ///< time of removal unless the endpoint registers again
+    std::map<EndpointId, Removed> m_removed;
     MonotonicTime m_graceEnd {};
 };
 
--- a/tests/gateway/endpoint_registry.test.cpp
+++ b/tests/gateway/endpoint_registry.test.cpp
@@ -19,6 +19,15 @@
     return result;
 }
 
+/// Entry that a process of `incarnation` has written as the `sequence`th.
+EndpointEntry numbered(std::uint64_t incarnation, std::uint64_t sequence, bool isLeaving = false)
+{
+    auto result = entry("a", incarnation);
+    result.sequence = sequence;
+    result.isLeaving = isLeaving;
+    return result;
+}
+
 } // namespace
 
 TEST_CASE("a withdrawn endpoint is removed immediately while the directory is available [registry]")
@@ -65,3 +74,64 @@
     registry.recordWeights(EndpointId("unknown"), model, WeightsVersion(2));
     CHECK(registry.find(EndpointId("a"))->weights.at(model) == WeightsVersion(3));
 }
+
+TEST_CASE("an endpoint that leaves is not listed as ready by an entry that it wrote before [registry][store-return]")
+{
+    EndpointRegistry registry;
+    registry.put(numbered(1, 5, true));
+    CHECK(registry.isOutdated(numbered(1, 4)));
+    registry.put(numbered(1, 4));
+    REQUIRE(registry.find(EndpointId("a")));
+    CHECK(registry.find(EndpointId("a"))->isLeaving);
+    // The process that replaces it numbers its entries from 1 again.
+    CHECK_FALSE(registry.isOutdated(numbered(2, 1)));
+    registry.put(numbered(2, 1));
+    CHECK_FALSE(registry.find(EndpointId("a"))->isLeaving);
+}
+
+TEST_CASE("entries without numbers replace each other in the order in which they are received [registry][store-return]")
+{
+    EndpointRegistry registry;
+    registry.put(numbered(1, 0, true));
+    registry.put(numbered(1, 0));
+    REQUIRE(registry.find(EndpointId("a")));
+    CHECK_FALSE(registry.find(EndpointId("a"))->isLeaving);
+    registry.withdraw(EndpointId("a"), at(0ms));
+    registry.put(numbered(1, 0));
+    CHECK(registry.find(EndpointId("a")));
+}
+
+TEST_CASE("an endpoint that was removed comes back only with an entry that is newer than its last one [registry][store-return]")
+{
+    for (const bool isInGrace : { false, true }) {
+        CAPTURE(isInGrace);
+        EndpointRegistry registry;
+        registry.put(numbered(2, 3));
+        if (isInGrace)
+            registry.directoryRecovered(at(0ms));
+        registry.withdraw(EndpointId("a"), at(0ms));
+        registry.expire(at(EndpointRegistry::kReregistrationGrace));
+        REQUIRE_FALSE(registry.find(EndpointId("a")));
+        for (const auto& outdated : { numbered(2, 3), numbered(2, 2), numbered(1, 9) }) {
+            CHECK(registry.isOutdated(outdated));
+            registry.put(outdated);
+            CHECK_FALSE(registry.find(EndpointId("a")));
+        }
+        registry.put(isInGrace ? numbered(3, 1) : numbered(2, 4));
+        CHECK(registry.find(EndpointId("a")));
+    }
+}
+
+TEST_CASE("a removed endpoint is forgotten once no copy of the directory can list it any more [registry][store-return]")
+{
+    EndpointRegistry registry;
+    const auto remove = [&](const EndpointEntry& removed, MonotonicTime now) {
+        registry.put(removed);
+        REQUIRE(registry.withdraw(removed.id, now));
+    };
+    remove(numbered(1, 3), at(0ms));
+    remove(entry("b"), at(EndpointRegistry::kRemovedRetention - 1ms));
+    CHECK(registry.isOutdated(numbered(1, 3)));
+    remove(entry("c"), at(EndpointRegistry::kRemovedRetention));
+    CHECK_FALSE(registry.isOutdated(numbered(1, 3)));
+}
