Keep to one leader's orders when the store loses its newest records

A store that comes back from an older copy has lost the newest records, and gives out offsets and generations again: a successor would not wait for engines that were ordered just before (ONE), and a conditional append from before the return could succeed at the same offset.

Positions and tokens are ordered by the era of the store first. A leader that reads a record of an earlier era names all engines in its claim until orders of lost records are a lease old, counted from when it saw the era begin, so that changes of the leader do not prolong the wait. A late append of an earlier era that replaces a record starts the wait anew.

The simulation of the fleet returns its store from older copies. "the fleet simulation notices leaders that do not order the store's positions by its era" shows that it sees such faults.

--- a/src/hornbeamgate/gateway/order_journal.cpp
+++ b/src/hornbeamgate/gateway/order_journal.cpp
@@ -17,6 +17,8 @@
 
 } // namespace
 
+const EndpointId OrderJournal::kAllEndpoints {};
+
 void OrderJournal::takeOver(FencingToken token)
 {
     m_token = token;
@@ -26,7 +28,17 @@
     m_requested.clear();
     m_usableUntil.clear();
     m_unclaimedOrders.clear();
-    m_isHistoryUnknown = false;
+    m_unrecorded.reset();
+}
+
+void OrderJournal::recordEra(StoreEra era, MonotonicTime now)
+{
+    if (m_eraSeenAt && era <= m_era)
+        return;
+    m_era = era;
+    m_eraSeenAt = now;
+    if (era > StoreEra())
+        m_heardOrders.try_emplace({ kAllEndpoints, lastBefore(era) }, now + exclusion());
 }
 
 std::optional<OrderJournal::Call> OrderJournal::takeCall(MonotonicTime now)
@@ -47,6 +59,8 @@
     m_inAppend = m_step == Step::Owned ? m_requested : std::set<EndpointId> {};
     for (const auto& endpoint : m_inAppend)
         m_orders[endpoint] = { { m_self, m_end }, now + exclusion() };
+    if (m_step == Step::Claiming && m_unrecorded && now < m_unrecorded->listedUntil)
+        m_orders[kAllEndpoints] = *m_unrecorded;
     return Append { currentRecord(), m_end };
 }
 
@@ -66,11 +80,26 @@
     m_end = position->end;
     // The claim moves the end of the journal, so that no two requests are made at the same offset.
     m_step = Step::Claiming;
-    const bool isRemembered = position->record && m_writtenTokens.contains(position->record->token);
-    if (isRemembered)
+    recordEra(eraOf(position->end), now);
+    m_unrecorded.reset();
+    if (!position->record) {
+        m_unclaimedOrders.clear();
+        m_unrecorded = KnownOrder { { HostId(), m_end }, now + exclusion() };
+        return;
+    }
+    if (eraOf(position->record->token) == eraOf(position->end) && m_writtenTokens.contains(position->record->token))
         return;
-    m_isHistoryUnknown = !position->record;
-    m_unclaimedOrders = position->record ? position->record->orders : std::map<EndpointId, RecordedOrder> {};
+    m_unclaimedOrders = position->record->orders;
+    if (eraOf(position->record->token) < eraOf(position->end)) {
+        // The newest records are lost. A wait for all engines that this one lists does not cover their orders.
+        m_unclaimedOrders.erase(kAllEndpoints);
+        m_unrecorded = KnownOrder { { HostId(), lastBefore(m_era) }, *m_eraSeenAt + exclusion() };
+        // A late append of an earlier era has replaced a record of this one.
+        if (m_claimedEra == m_era)
+            m_unrecorded = KnownOrder { { HostId(), m_end }, now + exclusion() };
+        return;
+    }
+    m_claimedEra = eraOf(position->end);
 }
 
 void OrderJournal::onAppended(const std::optional<LogOffset>& end, MonotonicTime now)
@@ -86,6 +115,7 @@
     }
     m_end = *end;
     m_writtenTokens.insert(m_appendToken);
+    m_claimedEra = eraOf(m_appendToken);
     if (m_step == Step::Claiming) {
         finishClaim(now);
         return;
@@ -103,12 +133,17 @@
     for (const auto& [endpoint, order] : m_unclaimedOrders) {
         const auto heard = m_heardOrders.find({ endpoint, order.requestedAt });
         m_orders[endpoint] = { order, heard == m_heardOrders.end() ? now + exclusion() : heard->second };
-        if (heard == m_heardOrders.end() && order.host != m_self)
+        // Of a return, this process knows only when it has seen it itself.
+        if (order.host != m_self && (heard == m_heardOrders.end() || endpoint == kAllEndpoints))
             m_askUntil = now + kAgeRequestTime;
     }
     m_unclaimedOrders.clear();
-    if (std::exchange(m_isHistoryUnknown, false))
-        m_allBlockedUntil = now + exclusion();
+    // A late append of an earlier era may have replaced the record of a leader that reported its orders.
+    for (const auto& [request, listedUntil] : m_heardOrders) {
+        if (m_unrecorded && now < listedUntil)
+            m_orders.try_emplace(request.first, KnownOrder { { HostId(), request.second }, listedUntil });
+    }
+    m_unrecorded.reset();
     m_written = currentRecord();
 }
 
@@ -161,9 +196,14 @@
 }
 
 bool OrderJournal::isBlocked(const EndpointId& endpoint, MonotonicTime now) const
+{
+    return isOrderedByOthers(endpoint, now) || isOrderedByOthers(kAllEndpoints, now);
+}
+
+bool OrderJournal::isOrderedByOthers(const EndpointId& endpoint, MonotonicTime now) const
 {
     const auto found = m_orders.find(endpoint);
-    return now < m_allBlockedUntil || (found != m_orders.end() && found->second.order.host != m_self && now < found->second.listedUntil);
+    return found != m_orders.end() && found->second.order.host != m_self && now < found->second.listedUntil;
 }
 
 bool OrderJournal::isRecorded(const EndpointId& endpoint, MonotonicTime now) const
--- a/src/hornbeamgate/gateway/order_journal.hpp
+++ b/src/hornbeamgate/gateway/order_journal.hpp
@@ -2,6 +2,7 @@
 
 #include "hornbeamgate/base/ids.hpp"
 #include "hornbeamgate/base/time.hpp"
+#include "hornbeamgate/gateway/store_era.hpp"
 
 #include <chrono>
 #include <map>
@@ -53,7 +54,11 @@
 /// all others receive orders immediately. The predecessor's reports tell how old its orders are; an order whose age was not
 /// heard counts as just sent. A host never waits for its own orders, even after a restart.
 ///
-/// Designed for leaders that are frozen, killed or cut off in the middle of a rollout, and for a power cut of all daemons.
+/// A store that comes back from an older copy may have lost the newest records. A leader that reads a record of an earlier
+/// era therefore names all engines in its claim, as long as an order of a lost record may be less than a lease old.
+///
+/// Designed for leaders that are frozen, killed or cut off in the middle of a rollout, for a power cut of all daemons, and for
+/// a store that loses its newest records.
 class OrderJournal {
 public:
     /// An order may be sent for this long after its record was requested.
@@ -68,6 +73,9 @@
     };
     using Call = std::variant<Read, Append>;
 
+    /// Stands for all engines in a record, for orders of which no record is left.
+    static const EndpointId kAllEndpoints;
+
     OrderJournal(HostId self, Duration lease)
         : m_self(std::move(self))
         , m_lease(lease)
@@ -88,6 +96,8 @@
 
     /// Returns the store call to make now. The next one is returned only after the result of this one is known.
     std::optional<Call> takeCall(MonotonicTime now);
+    /// Records that the store is in `era`. The orders whose records it has lost by its return were requested before `now`.
+    void recordEra(StoreEra era, MonotonicTime now);
     /// Handles the result of a read; no value means that it failed.
     void onRead(const std::optional<OrderRecordPosition>& position, MonotonicTime now);
     /// Handles the result of an append: the end of the journal after it. No value means that it failed or that its outcome
@@ -130,6 +140,7 @@
 
     /// Returns how long after a record an order that it covers may still count against another leader's order.
     Duration exclusion() const { return kRecordValidity + m_lease + kOrderTransitTime; }
+    bool isOrderedByOthers(const EndpointId& endpoint, MonotonicTime now) const;
     OrderRecord currentRecord() const;
     void finishClaim(MonotonicTime now);
     OrderAge ageOf(const EndpointId& endpoint, LogOffset requestedAt, MonotonicTime listedUntil, MonotonicTime now) const;
@@ -158,8 +169,10 @@
     /// does not replace the one before it.
     std::map<std::pair<EndpointId, LogOffset>, MonotonicTime> m_heardOrders;
     MonotonicTime m_askUntil {};
-    bool m_isHistoryUnknown = false; ///< no record was ever written
-    MonotonicTime m_allBlockedUntil {};
+    std::optional<KnownOrder> m_unrecorded; ///< stands for the orders of which no record is left, if there may be any
+    StoreEra m_era; ///< newest one of the store that this process has seen
+    std::optional<MonotonicTime> m_eraSeenAt;
+    StoreEra m_claimedEra; ///< newest one in which this process knows of a leader's record
 };
 
 } // namespace hornbeamgate::gateway
--- a/src/hornbeamgate/gateway/weights_rollout.cpp
+++ b/src/hornbeamgate/gateway/weights_rollout.cpp
@@ -28,7 +28,8 @@
 
 void WeightsRollout::confirm(FencingToken token, MonotonicTime end, MonotonicTime now)
 {
-    if (isConfirmed(now))
+    // A membership in another era of the store does not continue the one before.
+    if (isConfirmed(now) && eraOf(token) == eraOf(*m_token))
         m_journal.setToken(token);
     else
         m_journal.takeOver(token);
@@ -59,12 +60,13 @@
 
 void WeightsRollout::setTargetOfUnknownAge(const ModelId& model, WeightsVersion version, MonotonicTime now)
 {
+    const auto known = m_targets.find(model);
+    if (known != m_targets.end() && version <= known->second)
+        return;
     setTarget(model, version, now - m_bound);
-    const auto found = m_targetHistory.find(model);
-    if (found != m_targetHistory.end() && found->second.back().version == version) {
-        found->second.back().isAgeKnown = false;
-        found->second.back().knownSince = now;
-    }
+    auto& target = m_targetHistory[model].back();
+    target.isAgeKnown = false;
+    target.knownSince = now;
 }
 
 void WeightsRollout::onTargetAge(const TargetAge& target, MonotonicTime now)
--- a/tests/gateway/order_journal.test.cpp
+++ b/tests/gateway/order_journal.test.cpp
@@ -34,20 +34,35 @@
     return { FencingToken(token), kSelf, std::move(orders) };
 }
 
+/// Claims the journal for a new leader at time 0, after a predecessor that left `record`, and returns the claim.
+OrderRecord claim(OrderJournal& journal, FencingToken token, const std::optional<OrderRecord>& record, LogOffset end)
+{
+    journal.takeOver(token);
+    REQUIRE(std::holds_alternative<OrderJournal::Read>(journal.takeCall(at(0ms)).value()));
+    journal.onRead(OrderRecordPosition { record, end }, at(0ms));
+    const auto call = journal.takeCall(at(0ms));
+    const auto& append = std::get<OrderJournal::Append>(call.value());
+    REQUIRE(append.at == end);
+    journal.onAppended(end.next(), at(0ms));
+    REQUIRE(journal.isOwned());
+    return append.record;
+}
+
 /// Takes the journal over at time 0, after a predecessor that left `record`.
 OrderJournal takenOver(std::uint64_t token, const std::optional<OrderRecord>& record)
 {
     OrderJournal journal(kSelf, kLease);
-    journal.takeOver(FencingToken(token));
-    REQUIRE(std::holds_alternative<OrderJournal::Read>(journal.takeCall(at(0ms)).value()));
-    journal.onRead(OrderRecordPosition { record, LogOffset(8) }, at(0ms));
-    const auto claim = journal.takeCall(at(0ms));
-    REQUIRE(std::get<OrderJournal::Append>(claim.value()).at == LogOffset(8));
-    journal.onAppended(LogOffset(9), at(0ms));
-    REQUIRE(journal.isOwned());
+    claim(journal, FencingToken(token), record, LogOffset(8));
     return journal;
 }
 
+/// Era of the store, and the token and end of the journal of the first leader in it.
+constexpr StoreEra kEra = storeEra(7);
+constexpr FencingToken kToken = tokenInEra(kEra, 4);
+constexpr LogOffset kEnd = positionInEra(kEra, 8);
+/// Token of the last leader of the era before, whose generation was higher.
+constexpr FencingToken kEarlierToken = tokenInEra(storeEra(6), 90);
+
 OrderJournal::Append takeAppend(OrderJournal& journal, MonotonicTime now)
 {
     const auto call = journal.takeCall(now);
@@ -290,3 +305,112 @@
     journal.onAppended(LogOffset(11), at(kExclusion));
     CHECK_FALSE(journal.takeCall(at(kExclusion + 1h)));
 }
+
+TEST_CASE("a leader that finds a record from before a return of the store waits for all engines, as newer records may be lost [journal][store-return]")
+{
+    for (const auto& endpoints : { std::set<EndpointId> {}, std::set<EndpointId> { kFirst } }) {
+        OrderJournal journal(kSelf, kLease);
+        claim(journal, kToken, recordOf(kEarlierToken.value(), endpoints), kEnd);
+        for (const auto& endpoint : { kFirst, kSecond }) {
+            CHECK(journal.isBlocked(endpoint, at(kExclusion - 1ms)));
+            CHECK_FALSE(journal.isBlocked(endpoint, at(kExclusion)));
+        }
+    }
+}
+
+TEST_CASE("a leader that finds its own record from before a return waits too, since another may have led since [journal][store-return]")
+{
+    OrderJournal journal(kSelf, kLease);
+    const auto own = claim(journal, kEarlierToken, recordOf(tokenInEra(storeEra(6), 89).value(), {}), positionInEra(storeEra(6), 8));
+    claim(journal, kToken, own, kEnd);
+    CHECK(journal.isBlocked(kFirst, at(kExclusion - 1ms)));
+    CHECK_FALSE(journal.isBlocked(kFirst, at(kExclusion)));
+}
+
+TEST_CASE("an order that was recorded before a return is not sent after it [journal][store-return]")
+{
+    OrderJournal journal(kSelf, kLease);
+    claim(journal, kEarlierToken, recordOf(tokenInEra(storeEra(6), 89).value(), {}), positionInEra(storeEra(6), 8));
+    journal.request(kFirst);
+    takeAppend(journal, at(0ms));
+    journal.onAppended(positionInEra(storeEra(6), 10), at(0ms));
+    REQUIRE(journal.isRecorded(kFirst, at(0ms)));
+    claim(journal, kToken, recordOf(kEarlierToken.value(), {}), kEnd);
+    CHECK_FALSE(journal.isRecorded(kFirst, at(0ms)));
+}
+
+TEST_CASE("after a return of the store a leader waits only for the engines in a record of the same era [journal][store-return]")
+{
+    OrderJournal journal(kSelf, kLease);
+    claim(journal, kToken, recordOf(tokenInEra(kEra, 3).value(), { kFirst }), kEnd);
+    CHECK(journal.isBlocked(kFirst, at(kExclusion - 1ms)));
+    CHECK_FALSE(journal.isBlocked(kSecond, at(0ms)));
+}
+
+TEST_CASE("the successor of a leader that waits for all engines after a return waits too, for the rest of the time if it hears the age [journal][store-return]")
+{
+    OrderJournal journal(kSelf, kLease);
+    const auto record = claim(journal, kToken, recordOf(kEarlierToken.value(), {}), kEnd);
+    REQUIRE(record.orders.contains(OrderJournal::kAllEndpoints));
+    const auto reported = journal.recentOrders(at(1s));
+    // The report may arrive before the successor reads the record or, from a daemon that it asks, after that.
+    for (const bool isHeardBefore : { true, false }) {
+        CAPTURE(isHeardBefore);
+        OrderJournal successor(kOther, kLease);
+        if (isHeardBefore)
+            successor.onPeerOrders(reported, at(0ms));
+        claim(successor, tokenInEra(kEra, 5), record, kEnd.next());
+        if (!isHeardBefore) {
+            CHECK(successor.isBlocked(kSecond, at(kExclusion - 1ms)));
+            CHECK(successor.isAskingForAges(at(0ms)));
+            successor.onPeerOrders(reported, at(0ms));
+        }
+        CHECK(successor.isBlocked(kSecond, at(kExclusion - 1s - 1ms)));
+        CHECK_FALSE(successor.isBlocked(kSecond, at(kExclusion - 1s)));
+    }
+}
+
+TEST_CASE("the wait for all engines after a return does not begin anew with a later claim, and its entry is removed afterwards [journal][store-return]")
+{
+    OrderJournal journal(kSelf, kLease);
+    const auto record = claim(journal, kToken, recordOf(kEarlierToken.value(), {}), kEnd);
+    journal.request(kFirst);
+    takeAppend(journal, at(1s));
+    journal.onAppended(std::nullopt, at(1s));
+    journal.takeCall(at(2s));
+    journal.onRead(OrderRecordPosition { record, kEnd.next() }, at(2s));
+    takeAppend(journal, at(2s));
+    journal.onAppended(kEnd.next().next(), at(2s));
+    CHECK_FALSE(journal.isBlocked(kSecond, at(kExclusion)));
+    takeAppend(journal, at(2s));
+    journal.onAppended(kEnd.next().next().next(), at(2s));
+    CHECK(takeAppend(journal, at(2s + kExclusion)).record.orders.empty());
+}
+
+TEST_CASE("a leader that finds a record that was appended before the store's return but arrived after it waits for all engines again [journal][store-return]")
+{
+    OrderJournal journal(kSelf, kLease);
+    claim(journal, kToken, recordOf(kEarlierToken.value(), {}), kEnd);
+    journal.request(kFirst);
+    takeAppend(journal, at(5s));
+    // The conditional append of the earlier leader has met the same offset.
+    journal.onAppended(std::nullopt, at(5s));
+    journal.takeCall(at(6s));
+    journal.onRead(OrderRecordPosition { recordOf(kEarlierToken.value(), { kSecond }), kEnd.next().next() }, at(6s));
+    CHECK_FALSE(journal.isSuperseded());
+    takeAppend(journal, at(6s));
+    journal.onAppended(kEnd.next().next().next(), at(6s));
+    CHECK(journal.isBlocked(kFirst, at(6s)));
+}
+
+TEST_CASE("the wait of an earlier leader for all engines, which is over, does not stand for the one after a return [journal][store-return]")
+{
+    OrderJournal journal(kSelf, kLease);
+    auto record = recordOf(kEarlierToken.value(), {});
+    record.orders[OrderJournal::kAllEndpoints] = { HostId(), kRequestedAt };
+    // The copy lists that wait, and another daemon has heard how old it is.
+    journal.onPeerOrders({ { OrderJournal::kAllEndpoints, kRequestedAt, kExclusion } }, at(0ms));
+    claim(journal, kToken, record, kEnd);
+    CHECK(journal.isBlocked(kFirst, at(kExclusion - 1ms)));
+    CHECK_FALSE(journal.isBlocked(kFirst, at(kExclusion)));
+}
--- a/tests/gateway/rollout_fleet.cpp
+++ b/tests/gateway/rollout_fleet.cpp
@@ -20,6 +20,7 @@
     constexpr milliseconds kLoadTimeout { 6000 };
     constexpr milliseconds kOrderTimeout { 800 };
     constexpr milliseconds kQueryInterval { 250 };
+    constexpr milliseconds kCopyInterval { 200 };
 
     EndpointId idOf(std::size_t engine)
     {
@@ -53,6 +54,7 @@
         m_now += kStep;
         expireMembers();
         updateEngines();
+        copyStore();
         while (!m_events.empty() && m_events.top().at <= m_now) {
             auto event = m_events.top();
             m_events.pop();
@@ -118,17 +120,48 @@
 
 void RolloutFleet::storeDown(milliseconds time) { m_storeDownUntil = m_now + time; }
 
+void RolloutFleet::returnStore(milliseconds age, milliseconds time)
+{
+    const auto found = std::find_if(m_copies.rbegin(), m_copies.rend(), [this, age](const auto& copy) { return copy.at <= m_now - age; });
+    const auto copy = found == m_copies.rend() ? m_copies.front() : *found;
+    m_store = copy.store;
+    // While the store is away, the times of its members pause or expire.
+    if (chance(50)) {
+        for (auto& [host, end] : m_store.members)
+            end += m_now + time - copy.at;
+    }
+    m_era = m_era.next();
+    std::erase_if(m_copies, [&copy](const auto& other) { return other.at > copy.at; });
+    storeDown(time);
+    m_returnedAt = m_now + time;
+}
+
+milliseconds RolloutFleet::timeUntilStable() const
+{
+    const auto stableAt = m_returnedAt ? *m_returnedAt + kContact : m_now;
+    return std::max(milliseconds(0), std::chrono::ceil<milliseconds>(stableAt - m_now));
+}
+
+void RolloutFleet::copyStore()
+{
+    if (!m_copies.empty() && m_now < m_copies.back().at + kCopyInterval)
+        return;
+    m_copies.push_back({ m_now, m_store });
+    while (m_copies.front().at < m_now - kMaxCopyAge)
+        m_copies.pop_front();
+}
+
 void RolloutFleet::cutFromStore(std::size_t daemon, milliseconds time) { m_daemons[daemon].cutUntil = m_now + time; }
 
 void RolloutFleet::reassign()
 {
-    m_generation = m_generation.next();
-    m_nextOwner.reset();
-    if (m_members.empty())
+    m_store.generation = m_store.generation.next();
+    m_store.nextOwner.reset();
+    if (m_store.members.empty())
         return;
-    auto chosen = m_members.begin();
-    std::advance(chosen, random(0, static_cast<int>(m_members.size()) - 1).count());
-    m_owner = chosen->first;
+    auto chosen = m_store.members.begin();
+    std::advance(chosen, random(0, static_cast<int>(m_store.members.size()) - 1).count());
+    m_store.owner = chosen->first;
 }
 
 void RolloutFleet::restartEngine(std::size_t engine)
@@ -142,6 +175,8 @@
 void RolloutFleet::heal()
 {
     m_storeDownUntil = m_lossUntil = m_lateOrdersUntil = m_now;
+    if (m_returnedAt)
+        m_returnedAt = std::min(*m_returnedAt, m_now);
     for (auto& daemon : m_daemons) {
         daemon.cutUntil = m_now;
         daemon.frozenUntil = std::min(daemon.frozenUntil, m_now);
@@ -166,11 +201,11 @@
 
 std::string RolloutFleet::describe() const
 {
-    std::string text = "leader " + std::to_string(leader()) + " owner " + (m_owner ? m_owner->value() : "none") + " members " + std::to_string(m_members.size()) + " versions";
+    std::string text = "leader " + std::to_string(leader()) + " owner " + (m_store.owner ? m_store.owner->value() : "none") + " members " + std::to_string(m_store.members.size()) + " versions";
     for (const auto& engine : m_engines)
         text += ' ' + std::to_string(engine.version.value());
     text += " of " + std::to_string(m_newest.value()) + " recorded";
-    for (const auto& [endpoint, order] : m_record ? m_record->orders : std::map<EndpointId, RecordedOrder> {})
+    for (const auto& [endpoint, order] : m_store.record ? m_store.record->orders : std::map<EndpointId, RecordedOrder> {})
         text += ' ' + endpoint.value();
     return text;
 }
@@ -193,11 +228,20 @@
     const auto executed = m_now + (isAnswerLost && chance(30) ? random(500, 3000) : random(2, 60));
     const auto answered = executed + random(2, 60);
     if (isAnswerLost)
-        schedule(m_now + kCallTimeout, daemon, std::move(failed));
-    m_events.push({ executed, ++m_eventNumber, kDaemons, {}, [this, daemon, incarnation, answered, isAnswerLost, call = std::move(call)] {
-                       auto answer = call();
+        schedule(m_now + kCallTimeout, daemon, failed);
+    m_events.push({ executed, ++m_eventNumber, kDaemons, {}, [this, daemon, incarnation, answered, isAnswerLost, call = std::move(call), failed = std::move(failed)] {
+                       const auto receive = [this, daemon, era = statedEra(), answer = call(), failed] {
+                           auto& known = m_daemons[daemon].era;
+                           if (era < known) {
+                               failed();
+                               return;
+                           }
+                           known = era;
+                           m_daemons[daemon].rollout->journal().recordEra(era, m_now);
+                           answer();
+                       };
                        if (!isAnswerLost)
-                           m_events.push({ answered, ++m_eventNumber, daemon, incarnation, std::move(answer) });
+                           m_events.push({ answered, ++m_eventNumber, daemon, incarnation, receive });
                    } });
 }
 
@@ -209,6 +253,7 @@
     self.isDraining = false;
     self.frozenUntil = m_now;
     self.startedAt = m_now;
+    self.era = {};
     self.election.emplace(m_now);
     self.rollout.emplace(self.host, kLease, kBound);
     self.rollout->setTargetOfUnknownAge(kModel, m_newest, m_now);
@@ -226,7 +271,7 @@
 void RolloutFleet::resumeLeadership(std::size_t daemon)
 {
     const auto read = [this, daemon]() -> std::function<void()> {
-        return [this, daemon, record = m_record] {
+        return [this, daemon, record = m_store.record] {
             auto& self = m_daemons[daemon];
             if (!record)
                 return;
@@ -271,7 +316,8 @@
 {
     const auto end = m_now + kMembershipTtl - kLeadershipExpiryMargin;
     const auto call = [this, daemon, end, host = m_daemons[daemon].host]() -> std::function<void()> {
-        const auto membership = join(host);
+        auto membership = join(host);
+        membership.generation = tokenInEra(statedEra(), membership.generation.value());
         return [this, daemon, end, membership] {
             auto& self = m_daemons[daemon];
             const bool wasLeader = self.election->isLeader();
@@ -303,24 +349,36 @@
     if (!call)
         return;
     if (const auto* append = std::get_if<OrderJournal::Append>(&*call)) {
-        const auto execute = [this, daemon, append = *append]() -> std::function<void()> {
-            std::optional<LogOffset> end;
-            if (append.at == m_recordEnd) {
-                m_record = append.record;
-                m_recordEnd = m_recordEnd.next();
-                end = m_recordEnd;
-            }
-            return [this, daemon, end] { m_daemons[daemon].rollout->journal().onAppended(end, m_now); };
-        };
-        callStore(daemon, execute, [this, daemon] { m_daemons[daemon].rollout->journal().onAppended(std::nullopt, m_now); });
+        appendRecord(daemon, *append);
         return;
     }
     const auto execute = [this, daemon]() -> std::function<void()> {
-        return [this, daemon, position = OrderRecordPosition { m_record, m_recordEnd }] { m_daemons[daemon].rollout->journal().onRead(position, m_now); };
+        return [this, daemon, position = OrderRecordPosition { m_store.record, positionInEra(statedEra(), m_store.recordEnd.value()) }] { m_daemons[daemon].rollout->journal().onRead(position, m_now); };
     };
     callStore(daemon, execute, [this, daemon] { m_daemons[daemon].rollout->journal().onRead(std::nullopt, m_now); });
 }
 
+void RolloutFleet::appendRecord(std::size_t daemon, const OrderJournal::Append& append)
+{
+    const auto failed = [this, daemon] { m_daemons[daemon].rollout->journal().onAppended(std::nullopt, m_now); };
+    if (eraOf(append.at) != m_daemons[daemon].era) {
+        schedule(m_now, daemon, failed);
+        return;
+    }
+    const auto execute = [this, daemon, append]() -> std::function<void()> {
+        std::optional<LogOffset> end;
+        // The store compares only the offset, which it may have reached again after a return.
+        if (offsetInEra(append.at) == m_store.recordEnd.value()) {
+            m_store.record = append.record;
+            m_store.recordEnd = m_store.recordEnd.next();
+            if (statedEra() == eraOf(append.at))
+                end = positionInEra(statedEra(), m_store.recordEnd.value());
+        }
+        return [this, daemon, end] { m_daemons[daemon].rollout->journal().onAppended(end, m_now); };
+    };
+    callStore(daemon, execute, failed);
+}
+
 void RolloutFleet::sendReport(std::size_t daemon)
 {
     auto& self = m_daemons[daemon];
@@ -466,7 +524,7 @@
     if (m_now < m_storeDownUntil)
         return;
     std::vector<HostId> expired;
-    for (const auto& [host, end] : m_members) {
+    for (const auto& [host, end] : m_store.members) {
         if (end <= m_now)
             expired.push_back(host);
     }
@@ -476,34 +534,34 @@
 
 RolloutMembership RolloutFleet::join(const HostId& host)
 {
-    const bool isNew = !m_members.contains(host);
-    m_members[host] = m_now + kMembershipTtl;
+    const bool isNew = !m_store.members.contains(host);
+    m_store.members[host] = m_now + kMembershipTtl;
     if (isNew) {
-        m_generation = m_generation.next();
+        m_store.generation = m_store.generation.next();
         // The partition may move to any member; its owner learns of it at its next renewal.
-        if (m_owner && *m_owner != host && chance(50))
-            m_nextOwner = host;
+        if (m_store.owner && *m_store.owner != host && chance(50))
+            m_store.nextOwner = host;
     }
-    if (m_owner == host && m_nextOwner) {
-        m_owner = std::exchange(m_nextOwner, std::nullopt);
-        m_generation = m_generation.next();
+    if (m_store.owner == host && m_store.nextOwner) {
+        m_store.owner = std::exchange(m_store.nextOwner, std::nullopt);
+        m_store.generation = m_store.generation.next();
     }
-    if (!m_owner) {
-        m_owner = host;
-        m_generation = m_generation.next();
+    if (!m_store.owner) {
+        m_store.owner = host;
+        m_store.generation = m_store.generation.next();
     }
-    return { m_generation, m_owner == host };
+    return { m_store.generation, m_store.owner == host };
 }
 
 void RolloutFleet::leave(const HostId& host)
 {
-    if (m_members.erase(host) == 0)
+    if (m_store.members.erase(host) == 0)
         return;
-    m_generation = m_generation.next();
-    if (m_nextOwner == host)
-        m_nextOwner.reset();
-    if (m_owner == host)
-        m_owner = std::exchange(m_nextOwner, std::nullopt);
+    m_store.generation = m_store.generation.next();
+    if (m_store.nextOwner == host)
+        m_store.nextOwner.reset();
+    if (m_store.owner == host)
+        m_store.owner = std::exchange(m_store.nextOwner, std::nullopt);
 }
 
 void RolloutFleet::updateEngines()
--- a/tests/gateway/rollout_fleet.hpp
+++ b/tests/gateway/rollout_fleet.hpp
@@ -5,6 +5,7 @@
 
 #include "gateway/time_support.hpp"
 
+#include <deque>
 #include <functional>
 #include <queue>
 #include <random>
@@ -19,6 +20,7 @@
     None,
     UnrecordedOrders, ///< orders are sent without waiting for their record
     RepeatedElections, ///< every resignation starts an election, however old the resigned leadership is
+    IgnoredEras, ///< positions and tokens of the store are not ordered by its era
 };
 
 /// Simulates daemons that roll weights out over engines, with a store, a network and faults, on one clock.
@@ -27,6 +29,9 @@
     static constexpr std::chrono::milliseconds kLease { 3000 };
     /// Operators name a model's weights no faster than this.
     static constexpr std::chrono::milliseconds kMinNamingInterval { 3000 };
+    /// Time bounds count once the store has been without disruption for this long.
+    static constexpr std::chrono::milliseconds kContact { 4000 };
+    static constexpr std::chrono::milliseconds kMaxCopyAge { 10000 };
     static constexpr std::size_t kDaemons = 5;
     static constexpr std::size_t kEngines = 12;
 
@@ -40,6 +45,8 @@
     void cutPower(std::chrono::milliseconds time);
     void stopInTurn(std::size_t daemon);
     void storeDown(std::chrono::milliseconds time);
+    /// Lets the store be away for `time` and come back from a copy that is `age` old.
+    void returnStore(std::chrono::milliseconds age, std::chrono::milliseconds time);
     void cutFromStore(std::size_t daemon, std::chrono::milliseconds time);
     /// Lets the store choose another leader among the members without any request.
     void reassign();
@@ -49,6 +56,8 @@
     /// Ends all faults that last.
     void heal();
 
+    /// Returns how long it takes until the time bounds count again after a return of the store.
+    std::chrono::milliseconds timeUntilStable() const;
     /// Returns the daemon that is the leader, or `kDaemons`.
     std::size_t leader() const;
     /// Returns the share of engines with the newest version.
@@ -72,6 +81,7 @@
     struct Daemon {
         HostId host;
         Incarnation incarnation;
+        StoreEra era; ///< newest one that an answer of the store stated
         std::optional<RolloutElection> election;
         std::optional<WeightsRollout> rollout;
         EndpointRegistry registry;
@@ -95,6 +105,19 @@
         MonotonicTime lastOrderAt;
         FencingToken highestToken;
     };
+    /// What the store keeps of the rollout leaders. Its offsets and generations do not count its returns.
+    struct Store {
+        std::map<HostId, MonotonicTime> members; ///< end of the membership
+        std::optional<HostId> owner;
+        std::optional<HostId> nextOwner; ///< takes over once the owner has been told
+        FencingToken generation;
+        std::optional<OrderRecord> record;
+        LogOffset recordEnd;
+    };
+    struct StoreCopy {
+        MonotonicTime at;
+        Store store;
+    };
     struct Event {
         MonotonicTime at;
         std::uint64_t number;
@@ -109,6 +132,10 @@
     void schedule(MonotonicTime at, std::size_t daemon, std::function<void()> action);
     /// Executes `call` in the store and `answer` with its result at the daemon, either of which may be lost or late.
     void callStore(std::size_t daemon, std::function<std::function<void()>()> call, std::function<void()> failed);
+    /// Returns the era that the store's answers state.
+    StoreEra statedEra() const { return m_defect == RolloutDefect::IgnoredEras ? StoreEra() : m_era; }
+    void copyStore();
+    void appendRecord(std::size_t daemon, const OrderJournal::Append& append);
     bool isFrozen(std::size_t daemon) const { return m_now < m_daemons[daemon].frozenUntil; }
     void start(std::size_t daemon);
     void resumeLeadership(std::size_t daemon);
@@ -146,12 +173,10 @@
     std::uint64_t m_incarnations = 0;
     std::uint64_t m_operationNumber = 0;
 
-    std::map<HostId, MonotonicTime> m_members; ///< end of the membership
-    std::optional<HostId> m_owner;
-    std::optional<HostId> m_nextOwner; ///< takes over once the owner has been told
-    FencingToken m_generation;
-    std::optional<OrderRecord> m_record;
-    LogOffset m_recordEnd;
+    Store m_store;
+    StoreEra m_era;
+    std::deque<StoreCopy> m_copies; ///< from the oldest to the newest
+    std::optional<MonotonicTime> m_returnedAt; ///< end of the last absence from which the store came back from a copy
     MonotonicTime m_storeDownUntil;
     MonotonicTime m_lossUntil;
     MonotonicTime m_lateOrdersUntil;
--- a/tests/gateway/rollout_fleet.test.cpp
+++ b/tests/gateway/rollout_fleet.test.cpp
@@ -57,16 +57,33 @@
     }
 }
 
-std::string failureAfter(const Deployment& deployment, RolloutDefect defect, std::uint32_t seed, const std::vector<std::uint32_t>& choices)
+/// As `applyStep`, with returns of the store from an older copy among the faults.
+void applyStepOrReturn(RolloutFleet& fleet, std::uint32_t choice)
+{
+    constexpr std::uint32_t kStepsPerReturn = 8;
+    if (choice % kStepsPerReturn != 0) {
+        applyStep(fleet, choice / kStepsPerReturn);
+        return;
+    }
+    const auto argument = choice / kStepsPerReturn;
+    const std::chrono::milliseconds age(500 + argument % 9000);
+    const std::chrono::milliseconds time(argument / 9000 % 3000);
+    fleet.returnStore(age, time);
+}
+
+using Step = void (*)(RolloutFleet& fleet, std::uint32_t choice);
+
+std::string failureAfter(Step step, const Deployment& deployment, RolloutDefect defect, std::uint32_t seed, const std::vector<std::uint32_t>& choices)
 {
     RolloutFleet fleet(seed, deployment.longestLoad, defect);
     fleet.run(8s);
     for (const auto choice : choices) {
         fleet.run(300ms);
-        applyStep(fleet, choice);
+        step(fleet, choice);
     }
     fleet.nameVersion();
     fleet.heal();
+    fleet.run(fleet.timeUntilStable());
     fleet.run(deployment.mostUpToDate);
     if (fleet.upToDateShare() <= 0.5)
         return "most engines are behind: " + fleet.describe();
@@ -81,14 +98,14 @@
     return *rc::gen::container<std::vector<std::uint32_t>>(kSteps, rc::gen::arbitrary<std::uint32_t>());
 }
 
-bool detects(RolloutDefect defect)
+bool detects(RolloutDefect defect, Step step = applyStep)
 {
     for (std::uint32_t seed = 0; seed < 60; ++seed) {
         std::mt19937 random(seed);
         std::vector<std::uint32_t> choices(kSteps);
         for (auto& choice : choices)
             choice = static_cast<std::uint32_t>(random());
-        if (!failureAfter(kSlowLoads, defect, seed, choices).empty())
+        if (!failureAfter(step, kSlowLoads, defect, seed, choices).empty())
             return true;
     }
     return false;
@@ -101,7 +118,7 @@
     for (const auto& deployment : { kSlowLoads, kQuickLoads }) {
         CHECK(rc::check([&deployment] {
             const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-            const auto failed = failureAfter(deployment, RolloutDefect::None, seed, drawChoices());
+            const auto failed = failureAfter(applyStep, deployment, RolloutDefect::None, seed, drawChoices());
             if (!failed.empty())
                 RC_FAIL(failed);
         }));
@@ -158,3 +175,35 @@
         CHECK(fleet.violation().empty());
     }
 }
+
+TEST_CASE("weights reach all engines in time under one leader's orders at a time, also when the store returns from an older copy [weights][store-return][fuzz]")
+{
+    for (const auto& deployment : { kSlowLoads, kQuickLoads }) {
+        CHECK(rc::check([&deployment] {
+            const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+            const auto failed = failureAfter(applyStepOrReturn, deployment, RolloutDefect::None, seed, drawChoices());
+            if (!failed.empty())
+                RC_FAIL(failed);
+        }));
+    }
+}
+
+TEST_CASE("the fleet simulation notices leaders that do not order the store's positions by its era [weights][store-return][fuzz]")
+{
+    CHECK(detects(RolloutDefect::IgnoredEras, applyStepOrReturn));
+}
+
+TEST_CASE("after a return of the store in the middle of a rollout most engines load in time [weights][store-return]")
+{
+    // The copy is older than the version, and the leader's orders are missing from its record.
+    for (std::uint32_t seed = 0; seed < 20; ++seed) {
+        RolloutFleet fleet(seed, kSlowLoads.longestLoad, RolloutDefect::None);
+        fleet.run(8s);
+        fleet.nameVersion();
+        fleet.run(700ms);
+        fleet.returnStore(3s, 1s);
+        fleet.run(fleet.timeUntilStable() + kSlowLoads.mostUpToDate);
+        CHECK(fleet.upToDateShare() > 0.5);
+        CHECK(fleet.violation().empty());
+    }
+}
--- a/tests/gateway/weights_rollout.test.cpp
+++ b/tests/gateway/weights_rollout.test.cpp
@@ -306,3 +306,41 @@
     CHECK(late.oldestSendable(kModel, at(13s)) == WeightsVersion(2));
     CHECK(informed.targetAges(at(16s)).empty());
 }
+
+TEST_CASE("a leader whose membership is of another era of the store claims the journal again before it sends orders [weights][store-return]")
+{
+    const auto registry = registryOf(6);
+    const auto era = storeEra(1);
+    auto rollout = leaderSince(at(0ms));
+    rollout.setTarget(kModel, WeightsVersion(2), at(0ms));
+    rollout.journal().request(EndpointId("e100"));
+    completeJournalCall(rollout, std::nullopt, at(0ms));
+    REQUIRE(rollout.mayOrder(EndpointId("e100"), at(10ms)));
+    rollout.confirm(tokenInEra(era, 2), at(1h), at(10ms));
+    CHECK_FALSE(rollout.mayOrder(EndpointId("e100"), at(10ms)));
+    CHECK(rollout.takeDue(registry, kNoAdvice, at(10ms)).empty());
+    const auto read = rollout.journal().takeCall(at(10ms));
+    REQUIRE(read);
+    REQUIRE(std::holds_alternative<OrderJournal::Read>(*read));
+    rollout.journal().onRead(OrderRecordPosition { recordOf(3, {}), positionInEra(era, 5) }, at(10ms));
+    REQUIRE(rollout.journal().takeCall(at(10ms)));
+    rollout.journal().onAppended(positionInEra(era, 6), at(10ms));
+    CHECK(rollout.takeDue(registry, kNoAdvice, at(10ms)).empty());
+    const auto due = rollout.takeDue(registry, kNoAdvice, at(10ms + kTakeoverDelay));
+    REQUIRE_FALSE(due.empty());
+    CHECK(due.front().token == tokenInEra(era, 2));
+    // A renewal in the same era continues the leadership.
+    rollout.confirm(tokenInEra(era, 3), at(2h), at(5s));
+    CHECK(rollout.journal().isOwned());
+}
+
+TEST_CASE("an older or equal target of unknown age changes neither the target nor its age [weights][store-return]")
+{
+    WeightsRollout rollout(HostId("front-1"), kLease, kBound);
+    rollout.setTarget(kModel, WeightsVersion(4), at(19s));
+    for (const int version : { 3, 4 })
+        rollout.setTargetOfUnknownAge(kModel, WeightsVersion(static_cast<std::uint64_t>(version)), at(20s));
+    CHECK(rollout.targets().at(kModel) == WeightsVersion(4));
+    CHECK(rollout.oldestAllowed(kModel, at(20s)) == WeightsVersion());
+    CHECK(rollout.targetAges(at(20s)).size() == 1);
+}
