Order the records of the store by its era

The client of the store reads Store-Era from every answer and puts it in front of offsets and generations, so that everything of a later era is newer, also in the reports and records that gateways pass on to each other. A read that goes on from an earlier era, and an append that is conditional on one, fail at once; topics are listed again. An answer of an earlier era is rejected. Older values that the copy lists (configuration, weights, endpoints) do not replace those in force, and are not passed on. A gateway registers again if the store lost its registration, and keeps the peers that it hears.

Ruled out: a 410 as the sign of a return (the endpoints' topic gets none), and peers as the source of old records (no gateway was ahead of the others).

--- a/src/hornbeamgate/gateway/directory_replica.cpp
+++ b/src/hornbeamgate/gateway/directory_replica.cpp
@@ -11,18 +11,37 @@
     return kNames[static_cast<std::size_t>(topic)];
 }
 
-bool DirectoryReplica::apply(DirectoryTopic topic, const DirectoryRecord& record)
+bool DirectoryReplica::isNewer(DirectoryTopic topic, const DirectoryRecord& record) const
 {
-    const auto index = static_cast<std::size_t>(topic);
-    auto& known = m_topics[index];
+    const auto& known = m_topics[static_cast<std::size_t>(topic)];
+    const auto found = known.find(record.key);
+    return found == known.end() || record.offset > found->second.offset;
+}
+
+bool DirectoryReplica::isRestated(DirectoryTopic topic, const DirectoryRecord& record) const
+{
+    const auto& known = m_topics[static_cast<std::size_t>(topic)];
     const auto found = known.find(record.key);
-    if (found != known.end() && record.offset <= found->second.offset)
+    return found != known.end() && eraOf(found->second.offset) < eraOf(record.offset) && found->second.value == record.value;
+}
+
+bool DirectoryReplica::apply(DirectoryTopic topic, const DirectoryRecord& record)
+{
+    if (!isNewer(topic, record))
         return false;
-    known.insert_or_assign(record.key, Known { record.offset, record.value });
+    const auto index = static_cast<std::size_t>(topic);
+    m_topics[index].insert_or_assign(record.key, Known { record.offset, record.value });
     m_ends[index] = std::max(m_ends[index], record.offset.next());
     return true;
 }
 
+void DirectoryReplica::keepAt(DirectoryTopic topic, const std::string& key, LogOffset offset)
+{
+    const auto index = static_cast<std::size_t>(topic);
+    m_topics[index][key].offset = offset;
+    m_ends[index] = std::max(m_ends[index], offset.next());
+}
+
 std::vector<DirectoryRecord> DirectoryReplica::findWithdrawn(DirectoryTopic topic, const std::vector<DirectoryRecord>& listing, LogOffset end) const
 {
     std::set<std::string> listed;
@@ -30,8 +49,11 @@
         listed.insert(record.key);
     std::vector<DirectoryRecord> missing;
     for (const auto& [key, known] : m_topics[static_cast<std::size_t>(topic)]) {
-        if (known.value && known.offset < end && !listed.contains(key))
-            missing.push_back({ key, std::nullopt, known.offset.next() });
+        if (!known.value || known.offset >= end || listed.contains(key))
+            continue;
+        // Other daemons ask for records from their own end, which may lie behind the record's offset in its era.
+        const bool isOfEarlierEra = eraOf(known.offset) < eraOf(end);
+        missing.push_back({ key, std::nullopt, isOfEarlierEra ? lastBefore(eraOf(end)) : known.offset.next() });
     }
     return missing;
 }
--- a/src/hornbeamgate/gateway/directory_replica.hpp
+++ b/src/hornbeamgate/gateway/directory_replica.hpp
@@ -2,6 +2,7 @@
 
 #include "hornbeamgate/base/ids.hpp"
 #include "hornbeamgate/base/time.hpp"
+#include "hornbeamgate/gateway/store_era.hpp"
 
 #include <array>
 #include <chrono>
@@ -35,12 +36,22 @@
 
 /// Holds the newest known record of every key, received from the store or from other daemons.
 ///
-/// Offsets increase with every change, so an older record never replaces a newer one, regardless of its source.
+/// Offsets increase with every change and with every era of the store, so an older record never replaces a newer one,
+/// regardless of its source. A store that has come back from an older copy lists older values at newer offsets; the owner
+/// recognizes them by their contents.
 class DirectoryReplica {
 public:
+    /// Returns whether no record of the key with the same or a newer offset is known.
+    bool isNewer(DirectoryTopic topic, const DirectoryRecord& record) const;
+    /// Returns whether the record has the value of the key that was known in an earlier era.
+    bool isRestated(DirectoryTopic topic, const DirectoryRecord& record) const;
+
     /// Applies a record. Returns false if the same or a newer record of the key is already known.
     bool apply(DirectoryTopic topic, const DirectoryRecord& record);
 
+    /// Keeps the known value of `key`, or its withdrawal, as the one that holds at `offset`.
+    void keepAt(DirectoryTopic topic, const std::string& key, LogOffset offset);
+
     /// Returns withdrawals for the known keys that are missing from a listing of all records before `end`.
     std::vector<DirectoryRecord> findWithdrawn(DirectoryTopic topic, const std::vector<DirectoryRecord>& listing, LogOffset end) const;
 
--- a/src/hornbeamgate/gateway/peer_table.cpp
+++ b/src/hornbeamgate/gateway/peer_table.cpp
@@ -23,6 +23,12 @@
     return true;
 }
 
+bool PeerTable::isRunningAndHeard(const HostId& host, MonotonicTime now) const
+{
+    const auto found = m_peers.find(host);
+    return found != m_peers.end() && found->second.isHeard(now) && !found->second.isLeaving;
+}
+
 std::size_t PeerTable::heardCount(MonotonicTime now) const
 {
     return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [now](const auto& entry) { return entry.second.isHeard(now); }));
--- a/src/hornbeamgate/gateway/peer_table.hpp
+++ b/src/hornbeamgate/gateway/peer_table.hpp
@@ -28,6 +28,8 @@
     /// Records a report. Returns false if the host is not registered.
     bool heard(const HostId& host, bool isLeaving, MonotonicTime now);
 
+    /// Returns whether `host` was heard recently and is not leaving.
+    bool isRunningAndHeard(const HostId& host, MonotonicTime now) const;
     std::size_t heardCount(MonotonicTime now) const;
     /// Returns the number of heard daemons that started after `incarnation` and are not leaving. During a rolling restart
     /// these are the daemons that have already been restarted.
--- a/src/hornbeamgate/observability/log.cpp
+++ b/src/hornbeamgate/observability/log.cpp
@@ -58,6 +58,7 @@
         EventEntry { LogEvent::RecordsFetched, "records_fetched", LogLevel::Info },
         EventEntry { LogEvent::DependencyLost, "dependency_lost", LogLevel::Warning },
         EventEntry { LogEvent::DependencyRegained, "dependency_regained", LogLevel::Info },
+        EventEntry { LogEvent::StoreRestored, "store_restored", LogLevel::Warning },
         EventEntry { LogEvent::RecordUnreadable, "record_unreadable", LogLevel::Warning },
         EventEntry { LogEvent::EndpointsChanged, "endpoints_changed", LogLevel::Info },
         EventEntry { LogEvent::EndpointLimited, "endpoint_limited", LogLevel::Info },
--- a/src/hornbeamgate/observability/log.hpp
+++ b/src/hornbeamgate/observability/log.hpp
@@ -45,6 +45,7 @@
     RecordsFetched,
     DependencyLost,
     DependencyRegained,
+    StoreRestored,
     RecordUnreadable,
     EndpointsChanged,
     EndpointLimited,
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -123,9 +123,11 @@
         if (topic == DirectoryTopic::Endpoints)
             m_state.registry.directoryRecovered(now);
     }
+    if (!m_state.storeEra || *m_state.storeEra < eraOf(page.next))
+        onEraBegan(topic, eraOf(page.next), now);
     applyRecords(topic, page.records);
     if (isListing)
-        applyRecords(topic, m_replica.findWithdrawn(topic, page.records, page.next));
+        applyRecords(topic, findWithdrawn(topic, page, now));
     const auto sentAt = now - current.poll.pendingTime(now);
     if (topic == DirectoryTopic::Operators) {
         m_state.configConfirmedAt = now;
@@ -137,10 +139,34 @@
     current.timer.set(current.poll.onAnswer(pollPolicy(topic), page.next, !page.records.empty(), now));
 }
 
+void DirectoryTask::onEraBegan(DirectoryTopic topic, StoreEra era, MonotonicTime now)
+{
+    const auto before = std::exchange(m_state.storeEra, era);
+    m_state.weightsRollout.journal().recordEra(era, now);
+    if (!before)
+        return;
+    logEvent(LogEvent::StoreRestored, { { "topic", topicName(topic) }, { "era", era.value() }, { "before", before->value() } });
+    // What endpoints wrote after the copy was made is missing until they write again.
+    m_state.registry.directoryRecovered(now);
+    m_state.weightsRollout.storeRegained(now);
+    if (m_registeredEra < era)
+        registerDaemon();
+}
+
+std::vector<DirectoryRecord> DirectoryTask::findWithdrawn(DirectoryTopic topic, const DirectoryPage& listing, MonotonicTime now) const
+{
+    auto withdrawn = m_replica.findWithdrawn(topic, listing.records, listing.next);
+    // A daemon whose registration the store has lost registers again when it learns of that.
+    if (topic == DirectoryTopic::Daemons)
+        std::erase_if(withdrawn, [this, now](const auto& record) { return m_state.peers.isRunningAndHeard(HostId(record.key), now); });
+    return withdrawn;
+}
+
 void DirectoryTask::onCallFailed(DirectoryTopic topic, const DirectoryError& error)
 {
     auto& current = watcher(topic);
     if (error.isLogTruncated) {
+        logEvent(LogEvent::DirectoryCallFailed, { { "topic", topicName(topic) }, { "pending_ms", std::chrono::duration_cast<milliseconds>(current.poll.pendingTime(MonotonicClock::now())).count() }, { "failures", 0 }, { "retry_ms", 0 }, { "reason", error.detail } });
         current.poll.restart();
         poll(topic);
         return;
@@ -194,13 +220,19 @@
 
 void DirectoryTask::apply(DirectoryTopic topic, const DirectoryRecord& record)
 {
-    if (!m_replica.apply(topic, record))
+    if (!m_replica.isNewer(topic, record))
         return;
     if (!record.value) {
+        m_replica.apply(topic, record);
         removeRecord(topic, record.key);
         return;
     }
     auto item = m_directory.decode(topic, record);
+    if (item && (std::visit([this](const auto& value) { return isOutdated(value); }, *item) || m_replica.isRestated(topic, record))) {
+        m_replica.keepAt(topic, record.key, record.offset);
+        return;
+    }
+    m_replica.apply(topic, record);
     if (!item) {
         logEvent(LogEvent::RecordUnreadable, { { "topic", topicName(topic) }, { "key", record.key }, { "offset", record.offset.value() }, { "reason", item.error().detail } });
         // An unreadable record does not identify a usable endpoint or daemon, so the previous entry is removed. An
@@ -229,6 +261,18 @@
         m_state.peers.remove(HostId(key));
 }
 
+bool DirectoryTask::isOutdated(const FleetConfig& config) const
+{
+    return m_state.routes && config.version < m_state.routes->config().version;
+}
+
+bool DirectoryTask::isOutdated(const WeightsTarget& target) const
+{
+    const auto& targets = m_state.weightsRollout.targets();
+    const auto known = targets.find(target.model);
+    return known != targets.end() && target.version < known->second;
+}
+
 void DirectoryTask::put(FleetConfig config)
 {
     if (m_state.routes && config.version <= m_state.routes->config().version)
@@ -244,11 +288,12 @@
 void DirectoryTask::put(const WeightsTarget& target)
 {
     logEvent(LogEvent::WeightsNamed, { { "model", target.model.value() }, { "version", target.version.value() } });
-    // A starting daemon does not know when the weights it finds in the listing were requested.
     const auto now = MonotonicClock::now();
     if (watcher(DirectoryTopic::Operators).poll.hasListing())
         m_state.weightsRollout.setTarget(target.model, target.version, now);
-    else
+    else if (m_state.configConfirmedAt) // A new listing has what was requested since the last answer.
+        m_state.weightsRollout.setTarget(target.model, target.version, *m_state.configConfirmedAt);
+    else // A starting daemon does not know when the weights it finds were requested.
         m_state.weightsRollout.setTargetOfUnknownAge(target.model, target.version, now);
 }
 
@@ -322,7 +367,10 @@
 void DirectoryTask::registerDaemon()
 {
     m_directory.registerDaemon(m_self, false, [this](const Result<LogOffset, DirectoryError>& result) {
-        if (!result)
+        if (result)
+            m_registeredEra = eraOf(*result);
+        // Without an answer, and if the store returned from a copy that was made before it.
+        if (!result || m_state.storeEra > m_registeredEra)
             m_registrationTimer.set(MonotonicClock::now() + kRegistrationRetryDelay);
     });
 }
--- a/src/hornbeamgate/runtime/gateway/directory_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.hpp
@@ -54,8 +54,21 @@
     PollPolicy pollPolicy(DirectoryTopic topic) const;
     void onPage(DirectoryTopic topic, bool isListing, const DirectoryPage& page);
     void onCallFailed(DirectoryTopic topic, const DirectoryError& error);
+    /// Handles the first records of an era. The store may have lost what this daemon wrote before.
+    void onEraBegan(DirectoryTopic topic, StoreEra era, MonotonicTime now);
+    /// Returns withdrawals for the known keys that a complete listing lacks.
+    std::vector<DirectoryRecord> findWithdrawn(DirectoryTopic topic, const DirectoryPage& listing, MonotonicTime now) const;
     void apply(DirectoryTopic topic, const DirectoryRecord& record);
     void removeRecord(DirectoryTopic topic, const std::string& key);
+    /// Returns whether a value is older than the one in force, as a store that has come back from a copy lists it.
+    bool isOutdated(const FleetConfig& config) const;
+    bool isOutdated(const WeightsTarget& target) const;
+    bool isOutdated(const EndpointEntry& entry) const { return m_state.registry.isOutdated(entry); }
+    template <typename Item>
+    bool isOutdated(const Item&) const
+    {
+        return false;
+    }
     void put(FleetConfig config);
     void put(const WeightsTarget& target);
     void put(EndpointEntry entry);
@@ -87,6 +100,7 @@
     DaemonEntry m_self;
     DirectoryReplica m_replica;
     std::array<std::unique_ptr<TopicWatcher>, kDirectoryTopics> m_watchers;
+    StoreEra m_registeredEra; ///< in which the store acknowledged the registration
     Timer m_registrationTimer;
     Timer m_membershipTimer;
     Timer m_resumptionTimer;
--- a/src/hornbeamgate/runtime/gateway/gateway_state.hpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_state.hpp
@@ -10,6 +10,7 @@
 #include "hornbeamgate/gateway/prompt_quarantine.hpp"
 #include "hornbeamgate/gateway/route_table.hpp"
 #include "hornbeamgate/gateway/service_retry_budget.hpp"
+#include "hornbeamgate/gateway/store_era.hpp"
 #include "hornbeamgate/gateway/version_rollout.hpp"
 #include "hornbeamgate/gateway/weights_rollout.hpp"
 #include "hornbeamgate/gateway/workspace_rate_limiter.hpp"
@@ -113,6 +114,7 @@
     const WireFormat& wire;
     MemoryAccount memory; ///< of all that the process holds for callers, other gateways and administrators
     std::shared_ptr<const RouteTable> routes; ///< null until the first configuration is received; shared with requests in progress
+    std::optional<StoreEra> storeEra; ///< of the newest records that this daemon has read
     std::optional<MonotonicTime> configConfirmedAt; ///< last time the store reported all operators' records
     EndpointRegistry registry;
     OverloadControl overload;
--- a/src/hornbeamgate/runtime/net/http_call.cpp
+++ b/src/hornbeamgate/runtime/net/http_call.cpp
@@ -18,6 +18,7 @@
     m_exchange = std::make_unique<HttpExchange>(pool, std::move(request),
         HttpExchange::Handlers { [this](const HttpResponseHead& head) {
                                     m_answer.status = head.status;
+                                    m_answer.fields = head.fields;
                                     onProgress();
                                 },
             [this](std::string_view octets) {
--- a/src/hornbeamgate/runtime/net/http_call.hpp
+++ b/src/hornbeamgate/runtime/net/http_call.hpp
@@ -9,6 +9,7 @@
 /// Complete response to a small request.
 struct HttpResponse {
     int status = 0;
+    HttpFields fields;
     std::string body;
 };
 
--- a/tests/gateway/directory_replica.test.cpp
+++ b/tests/gateway/directory_replica.test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+
 using namespace hornbeamgate;
 using namespace hornbeamgate::gateway;
 using namespace hornbeamgate::gateway::testing;
@@ -69,3 +71,67 @@
     CHECK_FALSE(lag.isBehind(LogOffset(6), LogOffset(6), at(1s + kGrace)));
     CHECK(lag.isBehind(LogOffset(6), LogOffset(7), at(1s + kGrace)));
 }
+
+TEST_CASE("a record after a return of the store replaces one at a higher offset before it, and not the other way round [directory][store-return]")
+{
+    const auto before = positionInEra(storeEra(6), 400);
+    const auto after = positionInEra(storeEra(7), 4);
+    DirectoryReplica replica;
+    CHECK(replica.apply(kTopic, { "config", "old", before }));
+    CHECK(replica.apply(kTopic, { "config", "new", after }));
+    CHECK_FALSE(replica.apply(kTopic, { "config", "older", before.next() }));
+    CHECK(replica.end(kTopic) == after.next());
+}
+
+TEST_CASE("a daemon that was cut off learns from a peer which keys are missing after a return of the store [directory][store-return]")
+{
+    const auto topic = DirectoryTopic::Endpoints;
+    const auto before = positionInEra(storeEra(6), 400);
+    const DirectoryRecord listed { "listed", "entry", positionInEra(storeEra(7), 3) };
+    const DirectoryRecord gone { "gone", "entry", before };
+    const DirectoryRecord removedInEra { "removed", "entry", positionInEra(storeEra(7), 2) };
+    DirectoryReplica cutOff;
+    DirectoryReplica peer;
+    for (auto* replica : { &cutOff, &peer }) {
+        replica->apply(topic, { "listed", "entry", before.next() });
+        replica->apply(topic, gone);
+    }
+    const auto ownEnd = cutOff.end(topic);
+    peer.apply(topic, listed);
+    peer.apply(topic, removedInEra);
+    const auto withdrawn = peer.findWithdrawn(topic, { listed }, positionInEra(storeEra(7), 5));
+    REQUIRE(withdrawn.size() == 2);
+    for (const auto& missing : withdrawn) {
+        CHECK_FALSE(missing.value);
+        CHECK(peer.apply(topic, missing));
+    }
+    std::set<std::string> received;
+    for (const auto& newer : peer.recordsFrom(topic, ownEnd)) {
+        CHECK(cutOff.apply(topic, newer));
+        received.insert(newer.key);
+    }
+    CHECK(received == std::set<std::string> { "gone", "listed", "removed" });
+    CHECK(cutOff.end(topic) == peer.end(topic));
+    // The key is written again, at any offset of the era.
+    CHECK(cutOff.apply(topic, { "gone", "entry", positionInEra(storeEra(7), 0) }));
+}
+
+TEST_CASE("a value that is kept at a newer offset is passed on with it [directory][store-return]")
+{
+    const auto offset = positionInEra(storeEra(7), 4);
+    DirectoryReplica replica;
+    replica.apply(kTopic, { "config", "new", positionInEra(storeEra(6), 400) });
+    replica.apply(kTopic, { "removed", std::nullopt, positionInEra(storeEra(6), 401) });
+    replica.keepAt(kTopic, "config", offset);
+    replica.keepAt(kTopic, "removed", offset.next());
+    const auto records = replica.recordsFrom(kTopic, offset);
+    REQUIRE(records.size() == 2);
+    for (const auto& kept : records) {
+        CHECK(kept.value == (kept.key == "config" ? std::optional<std::string>("new") : std::nullopt));
+        CHECK(kept.offset == (kept.key == "config" ? offset : offset.next()));
+    }
+    CHECK(replica.end(kTopic) == offset.next().next());
+    CHECK_FALSE(replica.isNewer(kTopic, { "config", "old", offset }));
+    // The listing that named the old value does not withdraw the one that was kept.
+    CHECK(replica.findWithdrawn(kTopic, { { "config", "old", offset } }, offset.next().next()).empty());
+}
--- a/tests/gateway/peer_report.test.cpp
+++ b/tests/gateway/peer_report.test.cpp
@@ -1,4 +1,5 @@
 #include "hornbeamgate/gateway/peer_report.hpp"
+#include "hornbeamgate/gateway/store_era.hpp"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -86,6 +87,25 @@
     CHECK(decoded->quarantine.quarantined[0].renewals == 2);
 }
 
+TEST_CASE("positions and tokens of the last era are unchanged in a report [peers][store-return]")
+{
+    const auto era = storeEra((std::uint64_t { 1 } << kEraBits) - 1);
+    const auto position = positionInEra(era, (std::uint64_t { 1 } << kOffsetBits) - 1);
+    const auto token = tokenInEra(era, (std::uint64_t { 1 } << kGenerationBits) - 1);
+    PeerReport report;
+    report.host = HostId("front-1");
+    report.directoryEnds = { position, position, position, position };
+    report.leadership = { true, token, 2, token };
+    report.orderAges.push_back({ OrderJournal::kAllEndpoints, position, 120ms });
+    report.rollouts.services.push_back({ ServiceId("s"), position, 1500ms, true, true, 4, {}, {} });
+    const auto decoded = decodePeerReport(encodePeerReport(report));
+    REQUIRE(decoded);
+    CHECK(decoded->directoryEnds == report.directoryEnds);
+    CHECK(decoded->leadership == report.leadership);
+    CHECK(decoded->orderAges == report.orderAges);
+    CHECK(decoded->rollouts == report.rollouts);
+}
+
 // Guards against daemons that cannot read each other's reports while a fleet is updated, and against traffic in calm.
 TEST_CASE("slow starts are the last field of a report and take no byte while there are none [peers]")
 {
--- a/tests/platform/silent_store.test.cpp
+++ b/tests/platform/silent_store.test.cpp
@@ -1,8 +1,4 @@
-#include "hornbeamgate/runtime/gateway/directory_task.hpp"
-
-#include "platform/store_standin.hpp"
-#include "platform_directory.hpp"
-#include "platform_wire_format.hpp"
+#include "platform/store_follower.hpp"
 
 using namespace hornbeamgate;
 using namespace hornbeamgate::gateway;
@@ -12,43 +8,6 @@
 
 namespace {
 
-/// Time within which an acknowledged configuration has to be in force.
-constexpr auto kConfigBound = 3s;
-const std::string kOperators = "keyed.op";
-
-/// The part of a gateway that follows the store's records.
-struct Gateway {
-    explicit Gateway(const SocketAddress& store)
-        : directory(store)
-    {
-        task.start();
-    }
-
-    static GatewaySettings makeSettings()
-    {
-        GatewaySettings made;
-        made.common.host = HostId("front-1");
-        made.configBound = kConfigBound;
-        made.leavingBound = 3s;
-        made.rateWindow = 8s;
-        made.leaderLease = 3s;
-        made.weightsBound = 10s;
-        return made;
-    }
-    bool hasConfig(int version) const { return state.routes && state.routes->config().version == ConfigVersion(static_cast<std::uint64_t>(version)); }
-
-    GatewaySettings settings = makeSettings();
-    platform::PlatformWireFormat wire;
-    GatewayState state { settings, wire };
-    platform::PlatformDirectory directory;
-    DirectoryTask task { state, directory, { HostId("front-1"), Incarnation(5), {} } };
-};
-
-std::string config(int version)
-{
-    return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
-}
-
 /// A gateway that has applied version 1 and waits for the next record.
 struct Fixture {
     Fixture()
@@ -68,7 +27,7 @@
     }
 
     StoreStandIn store;
-    Gateway gateway { store.address() };
+    StoreFollower gateway { store.address() };
 };
 
 } // namespace
