Save observations again when the store has lost them

A gateway saved what it knows of prompts under which engines crash only when that changed, so a store that came back from an older copy lacked it for gateways that start later. It is saved again when the store's era has risen since the last save.

--- a/src/hornbeamgate/runtime/gateway/quarantine_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/quarantine_task.cpp
@@ -64,15 +64,17 @@
 {
     const auto now = MonotonicClock::now();
     const auto revision = m_state.quarantine.revision();
-    if (revision == m_savedRevision) {
+    const bool isLost = m_savedRevision > 0 && m_state.storeEra > m_savedEra;
+    if (revision == m_savedRevision && !isLost) {
         m_saveTimer.set(now + kSaveInterval);
         return;
     }
     const auto observations = encodeStoredQuarantine(m_state.quarantine.snapshot(now), std::chrono::system_clock::now());
     m_directory.saveObservations(m_self, observations, [this, revision](const Result<LogOffset, DirectoryError>& saved) {
-        if (saved)
+        if (saved) {
             m_savedRevision = revision;
-        else
+            m_savedEra = eraOf(*saved);
+        } else
             logEvent(LogEvent::ObservationsFailed, { { "call", "save" }, { "reason", saved.error().detail } });
         m_saveTimer.set(MonotonicClock::now() + (saved ? kSaveInterval : kRetryDelay));
     });
--- a/src/hornbeamgate/runtime/gateway/quarantine_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/quarantine_task.hpp
@@ -16,7 +16,7 @@
 private:
     void read();
     void apply(const std::vector<StoredObservations>& stored);
-    /// Saves the observations if they have changed since the last time.
+    /// Saves the observations if they have changed since the last time, or if the store may have lost them.
     void save();
 
     GatewayState& m_state;
@@ -25,6 +25,7 @@
     Timer m_readTimer;
     Timer m_saveTimer;
     std::uint64_t m_savedRevision = 0;
+    StoreEra m_savedEra; ///< in which the store acknowledged the last save
 };
 
 } // namespace hornbeamgate::gateway
--- a/tests/platform/quarantine_task.test.cpp
+++ b/tests/platform/quarantine_task.test.cpp
@@ -37,11 +37,11 @@
     bool isWithheld() const { return state.quarantine.withheldUntil(kDeadlyPrompt, MonotonicClock::now()).has_value(); }
 
     /// Waits until the observations are saved, and returns what the store then holds.
-    std::vector<StoredObservations> savedObservations()
+    std::vector<StoredObservations> savedObservations(LogOffset offset = LogOffset(1))
     {
         const auto before = directory.observationSaves.size();
         REQUIRE(runUntil([&] { return directory.observationSaves.size() > before; }));
-        directory.observationSaves.back()(LogOffset(1));
+        directory.observationSaves.back()(offset);
         return { directory.savedObservations.back() };
     }
 
@@ -99,6 +99,43 @@
     CHECK(gateway.directory.observationSaves.size() == 3);
 }
 
+TEST_CASE("observations are saved again after a return of the store, which may have lost them [quarantine][store-return]")
+{
+    Gateway gateway({});
+    gateway.state.storeEra = storeEra(6);
+    for (int number = 1; number <= 3; ++number)
+        gateway.loseEngine(number);
+    REQUIRE(runUntil([&] { return gateway.directory.observationSaves.size() == 1; }));
+    gateway.directory.observationSaves.back()(positionInEra(storeEra(6), 9));
+    runFor(300ms);
+    REQUIRE(gateway.directory.observationSaves.size() == 1);
+    gateway.state.storeEra = storeEra(7);
+    const Gateway after(gateway.savedObservations(positionInEra(storeEra(7), 2)));
+    CHECK(after.isWithheld());
+    runFor(300ms);
+    CHECK(gateway.directory.observationSaves.size() == 2);
+}
+
+TEST_CASE("a return of the store saves nothing while there are no observations [quarantine][store-return]")
+{
+    Gateway gateway({});
+    gateway.state.storeEra = storeEra(6);
+    runFor(300ms);
+    gateway.state.storeEra = storeEra(7);
+    runFor(300ms);
+    CHECK(gateway.directory.observationSaves.empty());
+}
+
+TEST_CASE("observations that the store acknowledged in an earlier era than the newest known one are saved again [quarantine][store-return]")
+{
+    Gateway gateway({});
+    gateway.state.storeEra = storeEra(7);
+    gateway.loseEngine(1);
+    REQUIRE(runUntil([&] { return gateway.directory.observationSaves.size() == 1; }));
+    gateway.directory.observationSaves.back()(positionInEra(storeEra(6), 9));
+    CHECK(runUntil([&] { return gateway.directory.observationSaves.size() == 2; }));
+}
+
 TEST_CASE("observations are read again after a failed call, and unreadable and old ones are removed [quarantine]")
 {
     GatewaySettings settings;
