Check that the table of log events is in order

The names of weights_expired and weights_ordered were exchanged, as an entry is found by the position of its event and only the size of the table was checked. The order is now checked when the code is compiled.

--- a/src/hornbeamgate/observability/log.cpp
+++ b/src/hornbeamgate/observability/log.cpp
@@ -70,8 +70,8 @@
         EventEntry { LogEvent::RateChanged, "rate_changed", LogLevel::Info },
         EventEntry { LogEvent::CacheDomainsChanged, "cache_domains_changed", LogLevel::Info },
         EventEntry { LogEvent::WeightsNamed, "weights_named", LogLevel::Info },
-        EventEntry { LogEvent::WeightsExpired, "weights_expired", LogLevel::Info },
         EventEntry { LogEvent::WeightsOrdered, "weights_ordered", LogLevel::Info },
+        EventEntry { LogEvent::WeightsExpired, "weights_expired", LogLevel::Info },
         EventEntry { LogEvent::OrderJournalFailed, "order_journal_failed", LogLevel::Warning },
         EventEntry { LogEvent::ObservationsFailed, "observations_failed", LogLevel::Warning },
         EventEntry { LogEvent::RolloutOrdered, "rollout_ordered", LogLevel::Info },
@@ -84,6 +84,17 @@
     };
     static_assert(kEvents.size() == static_cast<std::size_t>(LogEvent::EventCount));
 
+    /// Entries are found by the position of their event.
+    constexpr bool isInOrder()
+    {
+        for (std::size_t i = 0; i < kEvents.size(); ++i) {
+            if (kEvents[i].event != static_cast<LogEvent>(i))
+                return false;
+        }
+        return true;
+    }
+    static_assert(isInOrder());
+
     constexpr std::array<std::string_view, 4> kLevelNames { "debug", "info", "warning", "error" };
 
     const EventEntry& entryOf(LogEvent event)
