--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -149,7 +149,7 @@
     // What endpoints wrote after the copy was made is missing until they write again.
     m_state.registry.directoryRecovered(now);
     m_state.weightsRollout.storeRegained(now);
-    if (m_registeredEra < era)
+    if (m_registeredEra < era && !m_isWithdrawn)
         registerDaemon();
 }
 
@@ -370,13 +370,15 @@
         if (result)
             m_registeredEra = eraOf(*result);
         // Without an answer, and if the store returned from a copy that was made before it.
-        if (!result || m_state.storeEra > m_registeredEra)
+        const bool isMissing = !result || m_state.storeEra > m_registeredEra;
+        if (isMissing && !m_isWithdrawn)
             m_registrationTimer.set(MonotonicClock::now() + kRegistrationRetryDelay);
     });
 }
 
 void DirectoryTask::withdraw(std::function<void()> done)
 {
+    m_isWithdrawn = true;
     m_registrationTimer.clear();
     m_directory.registerDaemon(m_self, true, [done = std::move(done)](const Result<LogOffset, DirectoryError>&) { done(); });
 }
--- a/src/hornbeamgate/runtime/gateway/directory_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.hpp
@@ -101,6 +101,7 @@
     DirectoryReplica m_replica;
     std::array<std::unique_ptr<TopicWatcher>, kDirectoryTopics> m_watchers;
     StoreEra m_registeredEra; ///< in which the store acknowledged the registration
+    bool m_isWithdrawn = false;
     Timer m_registrationTimer;
     Timer m_membershipTimer;
     Timer m_resumptionTimer;
--- a/tests/platform/directory_task.test.cpp
+++ b/tests/platform/directory_task.test.cpp
@@ -361,3 +361,17 @@
     fixture.task.applyRecords(DirectoryTopic::Operators, { { "version/m", R"({"model":"m","version":5})", LogOffset(9) } });
     CHECK(fixture.state.weightsRollout.oldestAllowed(ModelId("m"), MonotonicClock::now()) == WeightsVersion(4));
 }
+
+TEST_CASE("Guards against gateways that register again after they have withdrawn their registration [directory]")
+{
+    Fixture fixture;
+    REQUIRE(fixture.directory.registrations.size() == 1);
+    fixture.task.withdraw([] { });
+    REQUIRE(fixture.directory.registrations.size() == 2);
+    fixture.directory.registrations.front()(failure(DirectoryError { "no answer in time" }));
+    // The store comes back from an older copy as well.
+    fixture.directory.answer(DirectoryTopic::Operators, DirectoryPage { {}, positionInEra(storeEra(1), 3) });
+    fixture.directory.answer(DirectoryTopic::Endpoints, DirectoryPage { {}, positionInEra(storeEra(2), 3) });
+    hornbeamgate::testing::runFor(700ms);
+    CHECK(fixture.directory.registrations.size() == 2);
+}
