Count the wait after a return from its era also without any record

A copy may be older than the first order record. Its orders were requested before the return, so the wait counts from when the era was first seen. Only a record that can't be read may hold recent orders; it is told apart now.

--- a/src/hornbeamgate/gateway/order_journal.cpp
+++ b/src/hornbeamgate/gateway/order_journal.cpp
@@ -81,25 +81,27 @@
     // The claim moves the end of the journal, so that no two requests are made at the same offset.
     m_step = Step::Claiming;
     recordEra(eraOf(position->end), now);
-    m_unrecorded.reset();
-    if (!position->record) {
-        m_unclaimedOrders.clear();
-        m_unrecorded = KnownOrder { { HostId(), m_end }, now + exclusion() };
-        return;
-    }
-    if (eraOf(position->record->token) == eraOf(position->end) && m_writtenTokens.contains(position->record->token))
+    m_unrecorded = unrecordedOrders(*position, now);
+    const auto& record = position->record;
+    const bool isOfThisEra = record && eraOf(record->token) == m_era;
+    if (isOfThisEra && m_writtenTokens.contains(record->token))
         return;
-    m_unclaimedOrders = position->record->orders;
-    if (eraOf(position->record->token) < eraOf(position->end)) {
-        // The newest records are lost. A wait for all engines that this one lists does not cover their orders.
+    m_unclaimedOrders = record ? record->orders : std::map<EndpointId, RecordedOrder> {};
+    if (isOfThisEra)
+        m_claimedEra = m_era;
+    else // A wait for all engines that an older record lists does not cover the orders of lost records.
         m_unclaimedOrders.erase(kAllEndpoints);
-        m_unrecorded = KnownOrder { { HostId(), lastBefore(m_era) }, *m_eraSeenAt + exclusion() };
-        // A late append of an earlier era has replaced a record of this one.
-        if (m_claimedEra == m_era)
-            m_unrecorded = KnownOrder { { HostId(), m_end }, now + exclusion() };
-        return;
-    }
-    m_claimedEra = eraOf(position->end);
+}
+
+std::optional<OrderJournal::KnownOrder> OrderJournal::unrecordedOrders(const OrderRecordPosition& position, MonotonicTime now) const
+{
+    if (position.record && eraOf(position.record->token) >= m_era)
+        return std::nullopt;
+    // In the first era no record is lost. If there was one in this era, a late append of an earlier one has replaced it.
+    const bool mayBeRecent = position.isUnreadable || m_era == StoreEra() || m_claimedEra == m_era;
+    if (mayBeRecent)
+        return KnownOrder { { HostId(), position.end }, now + exclusion() };
+    return KnownOrder { { HostId(), lastBefore(m_era) }, *m_eraSeenAt + exclusion() };
 }
 
 void OrderJournal::onAppended(const std::optional<LogOffset>& end, MonotonicTime now)
--- a/src/hornbeamgate/gateway/order_journal.hpp
+++ b/src/hornbeamgate/gateway/order_journal.hpp
@@ -42,8 +42,9 @@
 
 /// Newest order record, and the offset at which the next one is appended.
 struct OrderRecordPosition {
-    std::optional<OrderRecord> record; ///< empty if none was ever written
+    std::optional<OrderRecord> record; ///< empty if there is none, or it can't be read
     LogOffset end;
+    bool isUnreadable = false; ///< there is a record, and its orders may be recent
 };
 
 /// Tells a new rollout leader which engines may still receive orders of its predecessor, however that one ended.
@@ -141,6 +142,8 @@
     /// Returns how long after a record an order that it covers may still count against another leader's order.
     Duration exclusion() const { return kRecordValidity + m_lease + kOrderTransitTime; }
     bool isOrderedByOthers(const EndpointId& endpoint, MonotonicTime now) const;
+    /// Returns what stands for the orders of which a read of the journal has found no record.
+    std::optional<KnownOrder> unrecordedOrders(const OrderRecordPosition& position, MonotonicTime now) const;
     OrderRecord currentRecord() const;
     void finishClaim(MonotonicTime now);
     OrderAge ageOf(const EndpointId& endpoint, LogOffset requestedAt, MonotonicTime listedUntil, MonotonicTime now) const;
--- a/tests/gateway/order_journal.test.cpp
+++ b/tests/gateway/order_journal.test.cpp
@@ -414,3 +414,20 @@
     CHECK(journal.isBlocked(kFirst, at(kExclusion - 1ms)));
     CHECK_FALSE(journal.isBlocked(kFirst, at(kExclusion)));
 }
+
+TEST_CASE("Guards against leaders that wait anew, each from its claim, after a return from a copy without any record [journal][store-return]")
+{
+    for (const bool isUnreadable : { false, true }) {
+        CAPTURE(isUnreadable);
+        OrderJournal journal(kSelf, kLease);
+        journal.recordEra(kEra, at(0ms));
+        journal.takeOver(kToken);
+        journal.takeCall(at(3s));
+        journal.onRead(OrderRecordPosition { std::nullopt, kEnd, isUnreadable }, at(3s));
+        takeAppend(journal, at(3s));
+        journal.onAppended(kEnd.next(), at(3s));
+        CHECK(journal.isBlocked(kFirst, at(kExclusion - 1ms)));
+        // The orders of a record that can't be read may be recent.
+        CHECK(journal.isBlocked(kFirst, at(kExclusion)) == isUnreadable);
+    }
+}
--- a/tests/platform/directory.test.cpp
+++ b/tests/platform/directory.test.cpp
@@ -191,6 +191,8 @@
     const auto unreadable = result<OrderRecordPosition>(read);
     REQUIRE(unreadable);
     CHECK_FALSE(unreadable->record);
+    CHECK(unreadable->isUnreadable);
+    CHECK_FALSE(none->isUnreadable);
     CHECK(store.requestLines[2] == "GET /hornbeamgate/log-newest?topic=keyed.orders&part=0");
 }
 
