Suspend the bounds of weights while the store is lost

The bound after which engines with old weights get no requests was restarted when the store was regained, which let it end in the middle of an outage, when nothing can be rolled out, and used weights again whose bound had passed before. One gateway's failed call for any topic restarted it for that gateway.

Bounds that have not ended are now suspended from the loss of the operators' records to their return. After a return from an older copy they count anew, as no orders are sent for some time. Ages of versions are reported for twice the bound, so that a gateway that starts after it knows that it has passed; ages in reports are clamped as others are. Only streams are called off, since other responses may have no head before their end. weights_expired is logged also when only the stricter limit changes.

--- a/src/hornbeamgate/gateway/peer_report.cpp
+++ b/src/hornbeamgate/gateway/peer_report.cpp
@@ -171,9 +171,9 @@
         report.leadership.generation = FencingToken(value->at(14).get<std::uint64_t>());
         report.leadership.resignedGeneration = FencingToken(value->at(15).get<std::uint64_t>());
         for (const auto& item : value->at(16))
-            report.targetAges.push_back({ ModelId(item.at(0).get<std::string>()), WeightsVersion(item.at(1).get<std::uint64_t>()), std::chrono::milliseconds(item.at(2).get<std::int64_t>()) });
+            report.targetAges.push_back({ ModelId(item.at(0).get<std::string>()), WeightsVersion(item.at(1).get<std::uint64_t>()), age(item.at(2)) });
         for (const auto& item : value->at(17))
-            report.orderAges.push_back({ EndpointId(item.at(0).get<std::string>()), LogOffset(item.at(1).get<std::uint64_t>()), std::chrono::milliseconds(item.at(2).get<std::int64_t>()) });
+            report.orderAges.push_back({ EndpointId(item.at(0).get<std::string>()), LogOffset(item.at(1).get<std::uint64_t>()), age(item.at(2)) });
         report.isAskingForOrderAges = value->at(18).get<bool>();
         if (value->size() > kFieldsWithoutQuarantine)
             report.quarantine = decodeQuarantine(value->at(19));
--- a/src/hornbeamgate/gateway/weights_rollout.cpp
+++ b/src/hornbeamgate/gateway/weights_rollout.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace hornbeamgate::gateway {
 
@@ -66,7 +67,7 @@
     setTarget(model, version, now - m_bound);
     auto& target = m_targetHistory[model].back();
     target.isAgeKnown = false;
-    target.knownSince = now;
+    target.countedFrom = now;
 }
 
 void WeightsRollout::onTargetAge(const TargetAge& target, MonotonicTime now)
@@ -90,8 +91,8 @@
 {
     std::vector<TargetAge> ages;
     for (const auto& [model, history] : m_targetHistory) {
-        // Once the newest target is beyond its bound, nothing older matters, and every daemon takes it for expired.
-        if (now >= history.back().at + m_bound)
+        // Long after the bound of the newest target no engine is behind, and a daemon that starts may count it anew.
+        if (now >= history.back().at + 2 * m_bound)
             continue;
         for (auto target = history.rbegin(); target != history.rend(); ++target) {
             if (target->isAgeKnown)
@@ -116,6 +117,35 @@
     return oldest;
 }
 
+void WeightsRollout::storeRegained(MonotonicTime now)
+{
+    const auto lostAt = std::exchange(m_storeLostAt, std::nullopt);
+    if (!lostAt)
+        return;
+    for (auto& [model, history] : m_targetHistory) {
+        for (auto& target : history) {
+            if (boundEnd(target) > *lostAt)
+                target.countedFrom += now - std::max(*lostAt, target.countedFrom);
+        }
+    }
+}
+
+void WeightsRollout::storeRestored(MonotonicTime now)
+{
+    for (auto& [model, history] : m_targetHistory) {
+        for (auto& target : history) {
+            if (boundEnd(target) > now)
+                target.countedFrom = now;
+        }
+    }
+}
+
+MonotonicTime WeightsRollout::boundEnd(const TargetChange& target) const
+{
+    const auto end = target.countedFrom + m_bound;
+    return m_storeLostAt && end > *m_storeLostAt ? MonotonicTime::max() : end;
+}
+
 WeightsVersion WeightsRollout::oldestSendable(const ModelId& model, MonotonicTime now) const
 {
     WeightsVersion oldest;
--- a/src/hornbeamgate/gateway/weights_rollout.hpp
+++ b/src/hornbeamgate/gateway/weights_rollout.hpp
@@ -4,7 +4,6 @@
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
 #include "hornbeamgate/gateway/order_journal.hpp"
 
-#include <algorithm>
 #include <map>
 #include <optional>
 #include <vector>
@@ -68,8 +67,11 @@
     WeightsVersion oldestSendable(const ModelId& model, MonotonicTime now) const;
     /// Returns until when a request that waits at an engine with `weights` may begin there.
     std::optional<MonotonicTime> latestBegin(const ModelId& model, WeightsVersion weights) const;
-    /// The store was not available until `now`, so no leader could record its orders. The bounds count from now.
-    void storeRegained(MonotonicTime now) { m_storeAvailableSince = now; }
+    /// The store is not available, so no leader can record its orders. Bounds that have not ended are suspended.
+    void storeLost(MonotonicTime now) { m_storeLostAt = m_storeLostAt.value_or(now); }
+    void storeRegained(MonotonicTime now);
+    /// The store has lost its newest records, so no order is sent for some time. Bounds that have not ended count from now.
+    void storeRestored(MonotonicTime now);
     const std::map<ModelId, WeightsVersion>& targets() const { return m_targets; }
 
     /// Returns the orders to prepare now. Each remains in progress until `finishOrder` is called.
@@ -96,7 +98,7 @@
     struct TargetChange {
         WeightsVersion version;
         MonotonicTime at;
-        MonotonicTime knownSince; ///< later than `at` while the age is unknown
+        MonotonicTime countedFrom; ///< start of the bound: later than `at` while the age is unknown and after an outage of the store
         bool isAgeKnown = true;
     };
     struct Retry {
@@ -105,12 +107,12 @@
     };
 
     /// Returns when requests must not begin on older weights any more.
-    MonotonicTime boundEnd(const TargetChange& target) const { return std::max(target.knownSince, m_storeAvailableSince) + m_bound; }
+    MonotonicTime boundEnd(const TargetChange& target) const;
     /// Returns how many of the engines with these weights have to load concurrently so that all have the targets in time.
     std::size_t concurrentLoads(const ModelId& model, const std::vector<WeightsVersion>& engines, MonotonicTime now) const;
 
     Duration m_bound;
-    MonotonicTime m_storeAvailableSince {};
+    std::optional<MonotonicTime> m_storeLostAt;
     Duration m_loadTime {}; ///< moving average; zero until the first load
     OrderJournal m_journal;
     std::map<ModelId, std::vector<TargetChange>> m_targetHistory; ///< by version
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -119,7 +119,8 @@
     const int failures = current.poll.failuresInRow();
     if (failures >= kFailuresUntilLost) {
         logEvent(LogEvent::DependencyRegained, { { "dependency", "store" }, { "topic", topicName(topic) }, { "failed_calls", failures } });
-        m_state.weightsRollout.storeRegained(now);
+        if (topic == DirectoryTopic::Operators)
+            m_state.weightsRollout.storeRegained(now);
         if (topic == DirectoryTopic::Endpoints)
             m_state.registry.directoryRecovered(now);
     }
@@ -148,7 +149,7 @@
     logEvent(LogEvent::StoreRestored, { { "topic", topicName(topic) }, { "era", era.value() }, { "before", before->value() } });
     // What endpoints wrote after the copy was made is missing until they write again.
     m_state.registry.directoryRecovered(now);
-    m_state.weightsRollout.storeRegained(now);
+    m_state.weightsRollout.storeRestored(now);
     if (m_registeredEra < era && !m_isWithdrawn)
         registerDaemon();
 }
@@ -177,8 +178,11 @@
     logEvent(LogEvent::DirectoryCallFailed,
         { { "topic", topicName(topic) }, { "pending_ms", std::chrono::duration_cast<milliseconds>(current.poll.pendingTime(now)).count() },
             { "failures", current.poll.failuresInRow() }, { "retry_ms", std::chrono::duration_cast<milliseconds>(next - now).count() }, { "reason", error.detail } });
-    if (current.poll.failuresInRow() == kFailuresUntilLost)
+    if (current.poll.failuresInRow() == kFailuresUntilLost) {
         logEvent(LogEvent::DependencyLost, { { "dependency", "store" }, { "topic", topicName(topic) }, { "reason", error.detail } });
+        if (topic == DirectoryTopic::Operators)
+            m_state.weightsRollout.storeLost(now);
+    }
     current.timer.set(next);
 }
 
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -404,7 +404,8 @@
         const double part = m_route->isStreaming ? 1.0 : kOverdueFraction;
         m_overdueTimer.set(now + std::chrono::duration_cast<Duration>(m_route->latencyObjective * part));
     }
-    if (const auto latest = latestBegin(); latest && *latest < m_deadline)
+    // Other responses may have no head before their end, so it is not known whether they have begun.
+    if (const auto latest = latestBegin(); m_route->isStreaming && latest && *latest < m_deadline)
         m_weightsTimer.set(*latest);
 }
 
--- a/src/hornbeamgate/runtime/gateway/weights_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/weights_task.cpp
@@ -71,7 +71,9 @@
 {
     for (const auto& [model, target] : m_state.weightsRollout.targets()) {
         const auto oldest = m_state.weightsRollout.oldestAllowed(model, now);
-        if (std::exchange(m_loggedOldest[model], oldest) == oldest)
+        const auto oldestSendable = m_state.weightsRollout.oldestSendable(model, now);
+        const std::pair limits { oldest, oldestSendable };
+        if (std::exchange(m_loggedLimits[model], limits) == limits)
             continue;
         std::size_t engines = 0;
         std::size_t behind = 0;
@@ -80,7 +82,7 @@
             engines += known != entry.weights.end() ? 1 : 0;
             behind += known != entry.weights.end() && known->second < oldest ? 1 : 0;
         }
-        logEvent(LogEvent::WeightsExpired, { { "model", model.value() }, { "oldest", oldest.value() }, { "oldest_sendable", m_state.weightsRollout.oldestSendable(model, now).value() }, { "engines", engines }, { "behind", behind } });
+        logEvent(LogEvent::WeightsExpired, { { "model", model.value() }, { "oldest", oldest.value() }, { "oldest_sendable", oldestSendable.value() }, { "engines", engines }, { "behind", behind } });
     }
 }
 
--- a/src/hornbeamgate/runtime/gateway/weights_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/weights_task.hpp
@@ -52,7 +52,7 @@
     HttpCalls m_calls { m_connections };
     std::map<EndpointId, LoadOperation> m_operations;
     std::uint64_t m_lastOperationNumber = 0;
-    std::map<ModelId, WeightsVersion> m_loggedOldest; ///< oldest versions that requests may use, as logged last
+    std::map<ModelId, std::pair<WeightsVersion, WeightsVersion>> m_loggedLimits; ///< oldest versions allowed and sendable, as logged last
     Duration m_suspendedTime;
     Timer m_timer;
 };
