--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -809,7 +809,7 @@
     if (!latest)
         return;
     if (*latest > MonotonicClock::now()) {
-        m_weightsTimer.set(*latest);
+        m_weightsTimer.set(std::min(*latest, m_deadline));
         return;
     }
     endSend(SendOutcome::Abandoned);
