--- a/tests/platform/directory_task.test.cpp
+++ b/tests/platform/directory_task.test.cpp
@@ -366,7 +366,7 @@
 {
     Fixture fixture;
     REQUIRE(fixture.directory.registrations.size() == 1);
-    fixture.task.withdraw([] { });
+    fixture.task.withdraw([] {});
     REQUIRE(fixture.directory.registrations.size() == 2);
     fixture.directory.registrations.front()(failure(DirectoryError { "no answer in time" }));
     // The store comes back from an older copy as well.
