--- a/src/hornbeamgate/gateway/order_journal.cpp
+++ b/src/hornbeamgate/gateway/order_journal.cpp
@@ -141,11 +141,12 @@
     }
     m_unclaimedOrders.clear();
     // A late append of an earlier era may have replaced the record of a leader that reported its orders.
-    for (const auto& [request, listedUntil] : m_heardOrders) {
-        if (m_unrecorded && now < listedUntil)
-            m_orders.try_emplace(request.first, KnownOrder { { HostId(), request.second }, listedUntil });
+    if (std::exchange(m_unrecorded, std::nullopt)) {
+        for (const auto& [request, listedUntil] : m_heardOrders) {
+            if (now < listedUntil)
+                m_orders.try_emplace(request.first, KnownOrder { { HostId(), request.second }, listedUntil });
+        }
     }
-    m_unrecorded.reset();
     m_written = currentRecord();
 }
 
--- a/src/hornbeamgate/gateway/store_era.hpp
+++ b/src/hornbeamgate/gateway/store_era.hpp
@@ -57,10 +57,4 @@
     return StoreEra(token.value() >> kGenerationBits);
 }
 
-/// Number by which the store knows the leadership of `token` in its era.
-constexpr std::uint64_t generationInEra(FencingToken token)
-{
-    return token.value() & ((std::uint64_t { 1 } << kGenerationBits) - 1);
-}
-
 } // namespace hornbeamgate::gateway
