Continue rollouts of a service's version when the store returns from an older copy

After a return of the store, running gateways ignored an order that was given again at a lower offset, took the loss of an order for an abort, or began it anew, so that a version that had been rolled back got requests again. A state that was lost was not written again until the next one, and a leader that started later wrote "rolled back" for an order that was lost.

Cause: orders were numbered by their offset alone, which a store that has come back gives out again; the same class as for the other records of the store. Ruled out: leaving the era out of the number, as before, so that an order in the copy keeps it. An order that is given again has another offset there, and a later order may get the same one.

An order is now numbered by its position, era first. One of a later era for the same version and duration continues the known one, an older one from the copy does not replace it, and while the newest one is missing the version gets no requests unless the traffic is shifting. States carry the era, and one that the store lacks is written again, by the leader at once and by others a little later.

Evidence: of the five new tests of version_rollout.test.cpp four fail on with era-less numbers (9 checks), as does the new test of store_return.test.cpp; the fifth holds there and guards against the new numbers.

--- a/src/hornbeamgate/gateway/version_rollout.cpp
+++ b/src/hornbeamgate/gateway/version_rollout.cpp
@@ -266,6 +266,21 @@
         add(entries.at(kHalf + (turn * kHalf + i) % others));
 }
 
+bool isRestated(const RolloutOrder& known, const RolloutOrder& order)
+{
+    return eraOf(known.offset) < eraOf(order.offset) && known.version == order.version && known.duration == order.duration;
+}
+
+bool isEarlier(const RolloutStatus& status, const RolloutStatus& newer)
+{
+    const auto progress = [](const RolloutStatus& of) {
+        if (of.state != RolloutState::Running)
+            return 2;
+        return of.phase == RolloutPhase::Shift ? 1 : 0;
+    };
+    return status.order < newer.order || (status.order == newer.order && progress(status) < progress(newer));
+}
+
 VersionRollout::VersionRollout(const VersionRolloutLimits& limits, const HostId& self, RolloutOrder order, bool isTrusted, MonotonicTime orderedAt)
     : m_limits(limits)
     , m_self(self)
@@ -275,6 +290,12 @@
 {
 }
 
+void VersionRollout::renumber(LogOffset offset)
+{
+    m_order.offset = offset;
+    chooseCanaries();
+}
+
 void VersionRollout::setAge(milliseconds age, MonotonicTime now)
 {
     // An order is never older than the time since it was given, so the highest age is the most accurate one.
@@ -577,16 +598,19 @@
     return {};
 }
 
+std::chrono::milliseconds VersionRollout::writeDelay() const
+{
+    const auto key = stableHash(m_order.service.value(), m_order.offset.value());
+    return kWriteDelay + milliseconds(rendezvousScore(m_self.value(), key) % static_cast<std::uint64_t>(kWriteDelay.count()));
+}
+
 std::optional<RolloutStatus> VersionRollout::dueWrite(bool isLeader, std::uint64_t oldInProgress, MonotonicTime now) const
 {
     if (!isRunning())
         return std::nullopt;
     const auto rolledBack = status(RolloutState::RolledBack, m_phase);
-    if (isStopped()) {
-        const auto key = stableHash(m_order.service.value(), m_order.offset.value());
-        const auto delay = kWriteDelay + milliseconds(rendezvousScore(m_self.value(), key) % static_cast<std::uint64_t>(kWriteDelay.count()));
-        return isLeader || (m_isBad && now >= m_stoppedAt + delay) ? std::optional(rolledBack) : std::nullopt;
-    }
+    if (isStopped())
+        return isLeader || (m_isBad && now >= m_stoppedAt + writeDelay()) ? std::optional(rolledBack) : std::nullopt;
     if (!isLeader)
         return std::nullopt;
     if (!invalidReason(now).empty())
@@ -649,8 +673,22 @@
     if (order.duration <= milliseconds(0))
         return;
     auto& service = m_services[order.service];
-    if (service.rollout && order.offset <= service.rollout->order().offset)
-        return;
+    if (service.rollout) {
+        const auto& known = service.rollout->order();
+        if (order.offset <= known.offset)
+            return;
+        if (isRestated(known, order)) {
+            continueOrder(service, order.offset, now);
+            return;
+        }
+        // The store's copy is from before the newest order.
+        const auto& previous = service.previousOrder;
+        if (previous && isRestated(*previous, order) && offsetInEra(previous->offset) == offsetInEra(order.offset)) {
+            service.isOrderLost = true;
+            return;
+        }
+        service.previousOrder = known;
+    }
     const bool isTrusted = isInRegularUse(service, order.version);
     if (!service.rollout) {
         service.baseline = service.released;
@@ -670,24 +708,76 @@
     service.held.erase(order.version);
     service.isFinished = false;
     service.isInvalidLogged = false;
+    service.isOrderLost = false;
     auto& rollout = service.rollout.emplace(m_limits, m_self, order, isTrusted, now - age.value_or(milliseconds(0)));
     rollout.setFleet(m_fleet);
     rollout.statusConfirmed(m_statusConfirmedAsOf);
     if (m_hasListing)
         setEngines(service);
     addEvent(RolloutEvent::Kind::Ordered, rollout);
+    if (service.status)
+        service.status = renumbered(*service.status, service);
     applyEarlierStatus(service);
     applyStatus(service, now);
+    applyPendingReports(service, now);
+}
+
+void VersionRollouts::continueOrder(Service& service, LogOffset offset, MonotonicTime now)
+{
+    auto& rollout = *service.rollout;
+    const bool isStatusOfOrder = service.status && service.status->order == rollout.order().offset;
+    rollout.renumber(offset);
+    service.isOrderLost = false;
+    if (isStatusOfOrder)
+        service.status->order = offset;
+    // A state that the store holds under another position must be written again, so that daemons that start find it.
+    if (service.recorded)
+        service.recorded = renumbered(*service.recorded, service);
+    applyPendingReports(service, now);
+}
+
+void VersionRollouts::applyPendingReports(Service& service, MonotonicTime now)
+{
+    const auto& order = service.rollout->order();
     for (auto& [peer, reports] : m_pending) {
         const auto pending = reports.find(order.service);
         if (pending == reports.end() || pending->second.report.order > order.offset)
             continue;
         if (pending->second.report.order == order.offset)
-            rollout.recordPeer(peer, pending->second.incarnation, pending->second.report, now);
+            service.rollout->recordPeer(peer, pending->second.incarnation, pending->second.report, now);
         reports.erase(pending);
     }
 }
 
+RolloutStatus VersionRollouts::renumbered(RolloutStatus status, const Service& service)
+{
+    if (!service.rollout)
+        return status;
+    const auto& order = service.rollout->order();
+    // An order that the store's copy holds keeps its offset.
+    const bool isOfOrder = eraOf(status.order) < eraOf(order.offset) && offsetInEra(status.order) == offsetInEra(order.offset) && status.version == order.version;
+    if (isOfOrder)
+        status.order = order.offset;
+    return status;
+}
+
+void VersionRollouts::storeEntered(StoreEra era)
+{
+    if (!std::exchange(m_era, era))
+        return;
+    m_wasRestored = true;
+    m_statusReadSince.reset();
+    for (auto& [id, service] : m_services)
+        service.recorded.reset();
+}
+
+void VersionRollouts::orderLost(const ServiceId& id)
+{
+    const auto found = m_services.find(id);
+    if (found != m_services.end() && found->second.rollout)
+        found->second.isOrderLost = true;
+}
+
 void VersionRollouts::removeOrder(const ServiceId& id, MonotonicTime now)
 {
     const auto found = m_services.find(id);
@@ -697,10 +787,13 @@
         found->second.rollout->abort(now);
 }
 
-void VersionRollouts::setStatus(const RolloutStatus& status, MonotonicTime now)
+void VersionRollouts::setStatus(const RolloutStatus& stored, MonotonicTime now)
 {
-    auto& service = m_services[status.service];
-    if (service.status && status.order < service.status->order)
+    auto& service = m_services[stored.service];
+    const auto status = renumbered(stored, service);
+    if (!service.recorded || isEarlier(*service.recorded, status))
+        service.recorded = status;
+    if (service.status && isEarlier(status, *service.status))
         return;
     const bool isKnownEnd = service.status && service.status->order == status.order && service.status->state != RolloutState::Running;
     if (isKnownEnd)
@@ -763,6 +856,7 @@
 void VersionRollouts::statusConfirmed(MonotonicTime asOf)
 {
     m_statusConfirmedAsOf = std::max(m_statusConfirmedAsOf, asOf);
+    m_statusReadSince = m_statusReadSince.value_or(asOf);
     for (auto& [id, service] : m_services) {
         if (service.rollout)
             service.rollout->statusConfirmed(asOf);
@@ -878,6 +972,9 @@
         return VersionChoice::allExcept(old);
     if (rollout.isTrusted() && !rollout.isShifting())
         return VersionChoice::allExcept(blockedVersions);
+    // The operator may have removed the order, and the store may have lost that.
+    if (service.isOrderLost && !rollout.isShifting())
+        return VersionChoice::allExcept(old);
     const bool isStateKnown = m_statusConfirmedAsOf != MonotonicTime::min() || (service.status && service.status->order == rollout.order().offset);
     if (!isStateKnown)
         return VersionChoice::allExcept(hasOther(service, blockedVersions, version) ? old : blockedVersions);
@@ -998,13 +1095,40 @@
     }
 }
 
-std::optional<RolloutStatus> VersionRollouts::takeAbandoned(Service& service, bool isLeader, MonotonicTime now)
+bool VersionRollouts::isStatusLost(const ServiceId& id) const
+{
+    const auto found = m_services.find(id);
+    return found != m_services.end() && isStatusLost(found->second);
+}
+
+bool VersionRollouts::isStatusLost(const Service& service) const
+{
+    if (!m_wasRestored || !m_statusReadSince || !service.rollout || service.isOrderLost || !service.status)
+        return false;
+    const auto& status = *service.status;
+    return status.order == service.rollout->order().offset && (!service.recorded || isEarlier(*service.recorded, status));
+}
+
+std::optional<RolloutStatus> VersionRollouts::takeLost(Service& service, bool isLeader, MonotonicTime now) const
+{
+    if (!isStatusLost(service) || now < service.nextRestatement)
+        return std::nullopt;
+    // A leader that has started since knows nothing of the state.
+    if (!isLeader && now < *m_statusReadSince + service.rollout->writeDelay())
+        return std::nullopt;
+    service.nextRestatement = now + VersionRollout::kWriteInterval;
+    return service.status;
+}
+
+std::optional<RolloutStatus> VersionRollouts::takeAbandoned(Service& service, bool isLeader, MonotonicTime now) const
 {
     // The order of a running rollout was removed while no daemon that is left knew it. Its record was in the store before the
     // state, so a read of the operators' records that was sent later shows whether it is there.
     const bool isOrderUnknown = !service.rollout || service.rollout->order().offset < service.status->order;
     const bool isConfirmed = m_operatorsConfirmedAsOf && *m_operatorsConfirmedAsOf > service.statusSeenAt;
-    const bool isAbandoned = isOrderUnknown && isConfirmed && service.status->state == RolloutState::Running;
+    // The store may have lost an order of an earlier era, and the operator may give it again.
+    const bool isOfThisEra = eraOf(service.status->order) == m_era.value_or(StoreEra());
+    const bool isAbandoned = isOrderUnknown && isConfirmed && isOfThisEra && service.status->state == RolloutState::Running;
     if (!isLeader || !isAbandoned || now < service.nextAbandonedWrite)
         return std::nullopt;
     service.nextAbandonedWrite = now + VersionRollout::kWriteInterval;
@@ -1024,6 +1148,10 @@
         if (!service.rollout)
             continue;
         judge(service, now);
+        if (service.isOrderLost)
+            continue;
+        if (auto status = takeLost(service, isLeader, now))
+            return status;
         if (!service.isInvalidLogged) {
             if (auto reason = service.rollout->invalidReason(now); !reason.empty()) {
                 service.isInvalidLogged = true;
--- a/src/hornbeamgate/gateway/version_rollout.hpp
+++ b/src/hornbeamgate/gateway/version_rollout.hpp
@@ -3,6 +3,7 @@
 #include "hornbeamgate/base/ids.hpp"
 #include "hornbeamgate/base/time.hpp"
 #include "hornbeamgate/gateway/endpoint_registry.hpp"
+#include "hornbeamgate/gateway/store_era.hpp"
 #include "hornbeamgate/gateway/version_judge.hpp"
 
 #include <algorithm>
@@ -22,11 +23,14 @@
     ServiceId service;
     std::string version;
     std::chrono::milliseconds duration {};
-    LogOffset offset; ///< of the operator's record; tells two orders for one version apart
+    LogOffset offset; ///< position of the operator's record; tells two orders for one version apart
 
     bool operator==(const RolloutOrder&) const = default;
 };
 
+/// Returns whether `order` is the operator's order `known` in a later era of the store: from the copy, or written again.
+bool isRestated(const RolloutOrder& known, const RolloutOrder& order);
+
 enum class RolloutState {
     Running,
     Completed,
@@ -50,6 +54,9 @@
     bool operator==(const RolloutStatus&) const = default;
 };
 
+/// Returns whether `status` must not follow `newer`: it is of an earlier order, or an earlier state of the same one.
+bool isEarlier(const RolloutStatus& status, const RolloutStatus& newer);
+
 struct VersionRolloutLimits {
     double exposureShare = 0.1; ///< of all requests to a service that a bad version may get
     std::int64_t exposureSlack = 50; ///< requests that it may get besides, summed over all daemons
@@ -245,6 +252,8 @@
     VersionRollout(const VersionRolloutLimits& limits, const HostId& self, RolloutOrder order, bool isTrusted, MonotonicTime orderedAt);
 
     const RolloutOrder& order() const { return m_order; }
+    /// Gives the order the position of its record in another era of the store.
+    void renumber(LogOffset offset);
     Duration age(MonotonicTime now) const { return now - m_orderedAt; }
     /// Corrects the age of the order if another daemon knows it for longer.
     void setAge(std::chrono::milliseconds age, MonotonicTime now);
@@ -285,6 +294,8 @@
     std::optional<RolloutStatus> takeWrite(bool isLeader, std::uint64_t oldInProgress, MonotonicTime now);
     /// Returns why the order can't be carried out, or an empty text.
     std::string invalidReason(MonotonicTime now) const;
+    /// Returns how long this daemon leaves a state of the order to the leader.
+    std::chrono::milliseconds writeDelay() const;
 
 private:
     bool isPast(double fraction, MonotonicTime now) const;
@@ -359,6 +370,14 @@
     void setOrder(const RolloutOrder& order, std::optional<std::chrono::milliseconds> age, MonotonicTime now);
     /// Ends the order of a service: the operator has removed it. The version gets no more requests.
     void removeOrder(const ServiceId& service, MonotonicTime now);
+    /// The store is in `era`. In a later one it lacks the newest orders and states: operators give their orders again, and
+    /// states are written again by `takeWrite`.
+    void storeEntered(StoreEra era);
+    /// The store has come back without the order of a service. Unless the traffic is shifting already, the version gets no
+    /// requests until the operator has given the order again.
+    void orderLost(const ServiceId& service);
+    /// Returns whether the newest state of a service's order is missing in the store, which has come back without it.
+    bool isStatusLost(const ServiceId& service) const;
     /// Handles a state as read from the store. A state of an order that is not known yet is kept for it.
     void setStatus(const RolloutStatus& status, MonotonicTime now);
     /// The states in the store are known up to `asOf`, the time at which a read that reached their end was sent. Called for
@@ -409,7 +428,11 @@
     };
     struct Service {
         std::optional<VersionRollout> rollout; ///< of the newest order, also after its end
+        std::optional<RolloutOrder> previousOrder; ///< that the newest one replaced
+        bool isOrderLost = false; ///< the store has come back without the newest order
         std::optional<RolloutStatus> status; ///< newest read from the store
+        std::optional<RolloutStatus> recorded; ///< newest that the store holds in its era
+        MonotonicTime nextRestatement {};
         MonotonicTime statusSeenAt {}; ///< when a state of its order was first read
         std::map<std::string, std::set<EndpointId>> engines; ///< listed, by version
         std::map<std::string, MonotonicTime> held; ///< when versions were first seen whose order may not be known yet
@@ -428,6 +451,15 @@
     static bool hasOther(const Service& service, const std::set<std::string>& blocked, const std::string& version);
     static bool isInRegularUse(const Service& service, const std::string& version);
     void applyStatus(Service& service, MonotonicTime now);
+    /// Goes on with the rollout under the position that its order has in the store's era.
+    void continueOrder(Service& service, LogOffset offset, MonotonicTime now);
+    /// Applies what peers reported about the newest order before it was known.
+    void applyPendingReports(Service& service, MonotonicTime now);
+    /// Gives a state the position that its order has in the store's era.
+    static RolloutStatus renumbered(RolloutStatus status, const Service& service);
+    bool isStatusLost(const Service& service) const;
+    /// Returns the newest state of an order if the store has lost it.
+    std::optional<RolloutStatus> takeLost(Service& service, bool isLeader, MonotonicTime now) const;
     /// Applies a state of an earlier order than the newest.
     static void applyEarlierStatus(Service& service);
     void judge(Service& service, MonotonicTime now);
@@ -435,7 +467,7 @@
     static void finish(Service& service);
     static void setEngines(Service& service);
     static std::uint64_t oldInProgress(const Service& service);
-    std::optional<RolloutStatus> takeAbandoned(Service& service, bool isLeader, MonotonicTime now);
+    std::optional<RolloutStatus> takeAbandoned(Service& service, bool isLeader, MonotonicTime now) const;
     void addEvent(RolloutEvent::Kind kind, const VersionRollout& rollout, Judgement judgement = {}, std::string reason = {});
 
     VersionRolloutLimits m_limits;
@@ -443,6 +475,9 @@
     std::size_t m_fleet = 0;
     MonotonicTime m_statusConfirmedAsOf = MonotonicTime::min(); ///< the minimum before the first confirmation
     std::optional<MonotonicTime> m_operatorsConfirmedAsOf;
+    std::optional<StoreEra> m_era;
+    bool m_wasRestored = false;
+    std::optional<MonotonicTime> m_statusReadSince; ///< when the states in the store's era were first confirmed
     bool m_hasListing = false;
     std::map<ServiceId, Service> m_services;
     std::map<HostId, std::map<ServiceId, PendingReport>> m_pending; ///< reports about orders not known yet
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -144,6 +144,8 @@
 {
     const auto before = std::exchange(m_state.storeEra, era);
     m_state.weightsRollout.journal().recordEra(era, now);
+    if (m_state.versionRollouts)
+        m_state.versionRollouts->storeEntered(era);
     if (!before)
         return;
     logEvent(LogEvent::StoreRestored, { { "topic", topicName(topic) }, { "era", era.value() }, { "before", before->value() } });
@@ -160,6 +162,8 @@
     // A daemon whose registration the store has lost registers again when it learns of that.
     if (topic == DirectoryTopic::Daemons)
         std::erase_if(withdrawn, [this, now](const auto& record) { return m_state.peers.isRunningAndHeard(HostId(record.key), now); });
+    if (topic == DirectoryTopic::Operators)
+        std::erase_if(withdrawn, [this, &listing](const auto& record) { return eraOf(record.offset) < eraOf(listing.next) && loseRolloutOrder(record.key); });
     return withdrawn;
 }
 
@@ -232,7 +236,9 @@
         return;
     }
     auto item = m_directory.decode(topic, record);
-    if (item && (std::visit([this](const auto& value) { return isOutdated(value); }, *item) || m_replica.isRestated(topic, record))) {
+    // An order of a rollout is numbered by its position, so it is handled again in each era.
+    const bool isNumbered = item && std::holds_alternative<RolloutOrder>(*item);
+    if (item && !isNumbered && (std::visit([this](const auto& value) { return isOutdated(value); }, *item) || m_replica.isRestated(topic, record))) {
         m_replica.keepAt(topic, record.key, record.offset);
         return;
     }
@@ -368,6 +374,17 @@
         m_state.versionRollouts->removeOrder(*service, MonotonicClock::now());
 }
 
+bool DirectoryTask::loseRolloutOrder(const std::string& key) const
+{
+    const auto service = m_directory.findRolloutService(key);
+    if (!service)
+        return false;
+    logEvent(LogEvent::RolloutOrdered, { { "service", service->value() }, { "outcome", m_state.versionRollouts ? "lost" : "ignored" } });
+    if (m_state.versionRollouts)
+        m_state.versionRollouts->orderLost(*service);
+    return true;
+}
+
 void DirectoryTask::registerDaemon()
 {
     m_directory.registerDaemon(m_self, false, [this](const Result<LogOffset, DirectoryError>& result) {
--- a/src/hornbeamgate/runtime/gateway/directory_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.hpp
@@ -78,6 +78,8 @@
     void put(const RolloutOrder& order);
     void put(const RolloutStatus& status);
     void removeRolloutOrder(const std::string& key);
+    /// Handles a key that a store which has come back no longer lists. Returns whether it is that of a rollout's order.
+    bool loseRolloutOrder(const std::string& key) const;
     void endpointsChanged();
     /// Returns whether the states of version rollouts are known, or the store has been silent about them for so long that
     /// the daemon has to do without.
--- a/src/hornbeamgate/runtime/gateway/version_rollout_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/version_rollout_task.cpp
@@ -23,14 +23,6 @@
         return kNames[static_cast<std::size_t>(verdict)];
     }
 
-    /// States of one order follow each other in the order of this number.
-    int rank(const RolloutStatus& status)
-    {
-        if (status.state != RolloutState::Running)
-            return 2;
-        return status.phase == RolloutPhase::Shift ? 1 : 0;
-    }
-
     void log(const RolloutEvent& event)
     {
         const LogField service { "service", event.service.value() };
@@ -154,14 +146,15 @@
         const auto* newest = item ? std::get_if<RolloutStatus>(&*item) : nullptr;
         if (!newest || newest->service != wanted.service)
             continue;
-        return newest->order < wanted.order || (newest->order == wanted.order && rank(*newest) < rank(wanted));
+        return isEarlier(*newest, wanted);
     }
     return true;
 }
 
 bool VersionRolloutTask::isStillDue(const RolloutStatus& wanted, MonotonicTime now) const
 {
-    if (wanted.state != RolloutState::RolledBack && !m_state.weightsRollout.isConfirmed(now))
+    const bool mayWrite = wanted.state == RolloutState::RolledBack || m_state.weightsRollout.isConfirmed(now) || m_state.versionRollouts->isStatusLost(wanted.service);
+    if (!mayWrite)
         return false;
     for (const auto& known : m_state.versionRollouts->report(now).services) {
         if (known.service == wanted.service)
--- a/tests/gateway/version_rollout.test.cpp
+++ b/tests/gateway/version_rollout.test.cpp
@@ -23,14 +23,24 @@
     return entry;
 }
 
+RolloutOrder order(const std::string& version, LogOffset position)
+{
+    return { kService, version, 10s, position };
+}
+
 RolloutOrder order(const std::string& version, std::uint64_t offset)
 {
-    return { kService, version, 10s, LogOffset(offset) };
+    return order(version, LogOffset(offset));
+}
+
+RolloutStatus status(RolloutState state, RolloutPhase phase, LogOffset position, const std::string& version = "v2")
+{
+    return { kService, version, state, phase, position };
 }
 
 RolloutStatus status(RolloutState state, RolloutPhase phase, std::uint64_t offset, const std::string& version = "v2")
 {
-    return { kService, version, state, phase, LogOffset(offset) };
+    return status(state, phase, LogOffset(offset), version);
 }
 
 /// One daemon without peers, whose store answers each time that `at` is called.
@@ -59,6 +69,7 @@
         rollouts.statusConfirmed(now);
         rollouts.operatorsConfirmed(now);
     }
+    void enterEra(std::uint64_t era) { rollouts.storeEntered(StoreEra(era)); }
     void startRollout(std::uint64_t offset = 5)
     {
         list({ oldEngine, newEngine, otherNewEngine });
@@ -388,6 +399,107 @@
     CHECK(daemon.write() == status(RolloutState::RolledBack, RolloutPhase::Observe, 5));
 }
 
+TEST_CASE("Guards against an order that begins anew, or is ignored, when it is given again after the store has lost it")
+{
+    Daemon daemon;
+    daemon.enterEra(0);
+    daemon.startRollout();
+    daemon.writeAndRead();
+    daemon.enterEra(1);
+    daemon.rollouts.orderLost(kService);
+    daemon.pass(1s);
+    CHECK(daemon.send(100) == 0);
+    CHECK_FALSE(daemon.write());
+    // Fewer records precede it now.
+    const auto position = positionInEra(StoreEra(1), 3);
+    daemon.rollouts.setOrder(order("v2", position), 0ms, daemon.now);
+    CHECK(daemon.send(100) > 0);
+    CHECK(daemon.write() == status(RolloutState::Running, RolloutPhase::Observe, position));
+    // The order is as old as it was: it is given up 8.5 s after it was first given.
+    daemon.pass(7499ms);
+    daemon.writeAndRead();
+    CHECK(daemon.write() != status(RolloutState::RolledBack, RolloutPhase::Observe, position));
+    daemon.pass(1s);
+    CHECK(daemon.write() == status(RolloutState::RolledBack, RolloutPhase::Observe, position));
+}
+
+TEST_CASE("Guards against a version that gets requests again because its order is given again after its rollback")
+{
+    Daemon daemon;
+    daemon.enterEra(0);
+    daemon.startRollout();
+    daemon.writeAndRead();
+    daemon.rollouts.setStatus(status(RolloutState::RolledBack, RolloutPhase::Observe, 5), daemon.now);
+    daemon.enterEra(1);
+    daemon.rollouts.orderLost(kService);
+    daemon.rollouts.setOrder(order("v2", positionInEra(StoreEra(1), 7)), 0ms, daemon.now);
+    CHECK(daemon.send(100) == 0);
+}
+
+TEST_CASE("Guards against a state that the store has lost and that is not written again")
+{
+    Daemon daemon;
+    daemon.enterEra(0);
+    daemon.startRollout();
+    daemon.writeAndRead();
+    daemon.rollouts.setStatus(status(RolloutState::Running, RolloutPhase::Shift, 5), daemon.now);
+    daemon.enterEra(1);
+    const auto position = positionInEra(StoreEra(1), 5);
+    daemon.rollouts.setOrder(order("v2", position), std::nullopt, daemon.now);
+    // The copy has the state before.
+    daemon.rollouts.setStatus(status(RolloutState::Running, RolloutPhase::Observe, 5), daemon.now);
+    CHECK_FALSE(daemon.write());
+    daemon.confirm();
+    const auto lost = status(RolloutState::Running, RolloutPhase::Shift, position);
+    SUBCASE("By the leader")
+    {
+        CHECK(daemon.write() == lost);
+    }
+    SUBCASE("By another daemon, if the leader does not know it")
+    {
+        CHECK_FALSE(daemon.write(false));
+        daemon.pass(1s);
+        CHECK(daemon.write(false) == lost);
+    }
+    CHECK(daemon.rollouts.isStatusLost(kService));
+    daemon.rollouts.setStatus(lost, daemon.now);
+    CHECK_FALSE(daemon.rollouts.isStatusLost(kService));
+    daemon.pass(1s);
+    CHECK_FALSE(daemon.write(false));
+}
+
+TEST_CASE("Guards against a rollout that a later leader takes for abandoned because the store has lost its order")
+{
+    Daemon daemon;
+    daemon.enterEra(1);
+    daemon.rollouts.setStatus(status(RolloutState::Running, RolloutPhase::Observe, 5), daemon.now);
+    daemon.pass(1s);
+    CHECK_FALSE(daemon.write());
+    daemon.list({ daemon.oldEngine, daemon.newEngine, daemon.otherNewEngine });
+    daemon.rollouts.setOrder(order("v2", positionInEra(StoreEra(1), 3)), 0ms, daemon.now);
+    CHECK(daemon.send(100) > 0);
+}
+
+TEST_CASE("Guards against an older order in the store's copy that replaces the newest one")
+{
+    Daemon daemon;
+    daemon.enterEra(0);
+    daemon.startRollout();
+    const auto third = engine("m1", "v3");
+    daemon.list({ daemon.oldEngine, daemon.newEngine, third });
+    daemon.rollouts.setOrder(order("v3", 6), 0ms, daemon.now);
+    daemon.enterEra(1);
+    daemon.rollouts.setOrder(order("v2", positionInEra(StoreEra(1), 5)), std::nullopt, daemon.now);
+    CHECK_FALSE(daemon.mayUse(daemon.newEngine));
+    daemon.rollouts.setOrder(order("v3", positionInEra(StoreEra(1), 6)), 0ms, daemon.now);
+    CHECK(daemon.send(100) == 0);
+    CHECK(daemon.mayUse(third));
+    // The operator goes back to the second version.
+    daemon.rollouts.setOrder(order("v2", positionInEra(StoreEra(1), 7)), 0ms, daemon.now);
+    CHECK(daemon.send(100) > 0);
+    CHECK_FALSE(daemon.mayUse(third));
+}
+
 TEST_CASE("Guards against a report that is too large for a datagram")
 {
     RolloutEvidence evidence;
--- a/tests/platform/record_decoder.test.cpp
+++ b/tests/platform/record_decoder.test.cpp
@@ -128,6 +128,10 @@
         }
     }
     CHECK(platform::encodeRolloutStatus({ ServiceId("s"), "v2", RolloutState::RolledBack, RolloutPhase::Shift, LogOffset(9) }) == R"({"order":9,"phase":"shift","state":"rolled_back","to":"v2"})");
+    const RolloutStatus laterEra { ServiceId("s"), "v2", RolloutState::Running, RolloutPhase::Shift, positionInEra(StoreEra(7), 9) };
+    const auto laterRecord = decode(DirectoryTopic::Status, "rollout/s", platform::encodeRolloutStatus(laterEra));
+    REQUIRE(laterRecord);
+    CHECK(std::get<RolloutStatus>(*laterRecord) == laterEra);
     CHECK_FALSE(decode(DirectoryTopic::Status, "other/s", R"({"order":9,"phase":"shift","state":"running","to":"v2"})"));
     CHECK_FALSE(decode(DirectoryTopic::Status, "rollout/s", R"({"order":9,"phase":"shift","state":"begun","to":"v2"})"));
     CHECK_FALSE(decode(DirectoryTopic::Status, "rollout/s", R"({"phase":"shift","state":"running","to":"v2"})"));
--- a/tests/platform/store_follower.hpp
+++ b/tests/platform/store_follower.hpp
@@ -14,16 +14,18 @@
 
 /// The part of a gateway that follows the store's records.
 struct StoreFollower {
-    explicit StoreFollower(const SocketAddress& store)
-        : directory(store)
+    explicit StoreFollower(const SocketAddress& store, std::optional<VersionRolloutLimits> versionRollouts = std::nullopt)
+        : settings(makeSettings(versionRollouts))
+        , directory(store)
     {
         task.start();
     }
 
-    static GatewaySettings makeSettings()
+    static GatewaySettings makeSettings(std::optional<VersionRolloutLimits> versionRollouts)
     {
         using std::chrono::seconds;
         GatewaySettings made;
+        made.versionRollouts = versionRollouts;
         made.common.host = HostId("front-1");
         made.configBound = kConfigBound;
         made.leavingBound = seconds(3);
@@ -34,7 +36,7 @@
     }
     bool hasConfig(int version) const { return state.routes && state.routes->config().version == ConfigVersion(static_cast<std::uint64_t>(version)); }
 
-    GatewaySettings settings = makeSettings();
+    GatewaySettings settings;
     platform::PlatformWireFormat wire;
     GatewayState state { settings, wire };
     platform::PlatformDirectory directory;
--- a/tests/platform/store_return.test.cpp
+++ b/tests/platform/store_return.test.cpp
@@ -39,7 +39,8 @@
 
 /// A gateway with the configurations 1 to 3, of which a copy of the store has only the first.
 struct Fixture {
-    Fixture()
+    explicit Fixture(std::optional<VersionRolloutLimits> versionRollouts = std::nullopt)
+        : gateway(store.address(), versionRollouts)
     {
         store.append(kOperators, "config", config(1));
         REQUIRE(runUntil([&] { return gateway.hasConfig(1) && store.newest(kDaemons, kOwnKey); }));
@@ -91,8 +92,15 @@
         return found == targets.end() ? WeightsVersion() : found->second;
     }
 
+    /// Returns the position of the order of the rollout that is in progress.
+    std::optional<LogOffset> runningOrder() const
+    {
+        const auto running = gateway.state.versionRollouts->report(MonotonicClock::now()).services;
+        return running.empty() || running.front().isBad ? std::nullopt : std::optional(running.front().order);
+    }
+
     StoreStandIn store { 6 };
-    StoreFollower gateway { store.address() };
+    StoreFollower gateway;
 };
 
 } // namespace
@@ -254,3 +262,15 @@
     REQUIRE(fixture.knownEngine());
     CHECK(fixture.knownEngine()->isLeaving);
 }
+
+TEST_CASE("a rollout goes on when the store returns without its order and the operator gives it again [store-return]")
+{
+    const std::string order = R"({"service":"s","to":"v2","duration-s":60})";
+    Fixture fixture { VersionRolloutLimits {} };
+    fixture.waitForReads(kOperators, 1, [&] { fixture.store.append(kOperators, "rollout/s", order); });
+    REQUIRE(fixture.runningOrder() == positionInEra(StoreEra(6), 3));
+    fixture.waitForReads(kOperators, 1, [&] { fixture.store.returnFromCopy({ { kOperators, 1 } }); });
+    CHECK(fixture.runningOrder());
+    fixture.store.append(kOperators, "rollout/s", order);
+    CHECK(happensWithin(kConfigBound, [&] { return fixture.runningOrder() == positionInEra(StoreEra(7), 1); }));
+}
