Announce loads of weights in notices that are sent together

Rollout leaders on small hosts got no answer to any query for seconds and lost their leadership.

Cause: a leader announced each load, at its begin and its end, in a full report to every peer. Answers of engines, renewals of the membership and the close of the connection of a request that was called off waited behind them. Ruled out: the burst of callers (hosts that do not lead serve four times as much), and the queries themselves (they are unchanged).

Announcements are now notices with the loading and loaded engines and the ages of orders alone, and those within a quarter of the report interval are sent together. Gateways of the version before ignore notices. A counter tells the octets sent to peers.

--- a/src/hornbeamgate/gateway/peer_report.hpp
+++ b/src/hornbeamgate/gateway/peer_report.hpp
@@ -13,6 +13,7 @@
 #include "hornbeamgate/gateway/workspace_rate_limiter.hpp"
 
 #include <chrono>
+#include <variant>
 
 namespace hornbeamgate::gateway {
 
@@ -51,8 +52,21 @@
     PaceReport pace; ///< encoded last, and only if an endpoint is in slow start
 };
 
+/// What a rollout leader tells its peers between two reports. A report is ten times as large, and a leader starts many loads a
+/// second in a large fleet.
+struct LoadingNotice {
+    HostId host;
+    std::vector<LoadingEngine> loading;
+    std::vector<LoadedWeights> loaded;
+    std::vector<OrderAge> orderAges;
+};
+
+using PeerMessage = std::variant<PeerReport, LoadingNotice>;
+
 Bytes encodePeerReport(const PeerReport& report);
 Result<PeerReport, CodecError> decodePeerReport(BytesView encoded);
+Bytes encodeLoadingNotice(const LoadingNotice& notice);
+Result<PeerMessage, CodecError> decodePeerMessage(BytesView encoded);
 
 /// Encoding of directory records exchanged between daemons.
 Bytes encodeRecords(const std::vector<DirectoryRecord>& records);
--- a/src/hornbeamgate/observability/metrics.cpp
+++ b/src/hornbeamgate/observability/metrics.cpp
@@ -36,6 +36,7 @@
         "hornbeamgate_bookings_executed_total",
         "hornbeamgate_bookings_replayed_total",
         "hornbeamgate_directory_calls_failed_total",
+        "hornbeamgate_peer_bytes_sent_total",
         "hornbeamgate_requests_exposed_total",
         "hornbeamgate_version_responses_bad_total",
     };
--- a/src/hornbeamgate/observability/metrics.hpp
+++ b/src/hornbeamgate/observability/metrics.hpp
@@ -29,6 +29,7 @@
     BookingsExecuted,
     BookingsReplayed,
     DirectoryCallsFailed,
+    PeerBytesSent,
     RequestsExposed,
     VersionResponsesBad,
     CounterCount,
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -20,6 +20,8 @@
     /// fleet.
     constexpr milliseconds kReportIntervalPerPeer { 12 };
     constexpr milliseconds kMaxReportInterval { 1000 };
+    /// Notices of loading engines that may be sent in the interval between two reports.
+    constexpr int kNoticesPerReport = 4;
     /// How long completed weight loads are reported, since individual reports may be lost.
     constexpr milliseconds kLoadedReportDuration { 1500 };
     /// Number of reports that include each observation, since individual reports may be lost.
@@ -64,6 +66,7 @@
     , m_directory(directory)
     , m_self(std::move(self))
     , m_timer([this] { report(); })
+    , m_noticeTimer([this] { sendNotice(); })
 {
 }
 
@@ -105,12 +108,8 @@
     report.targetAges = m_state.weightsRollout.targetAges(now);
     report.isLeaving = m_state.isDraining;
     report.drawn = m_state.rates.drawn();
-    std::erase_if(m_loading, [now](const auto& entry) { return entry.second <= now; });
-    for (const auto& [endpoint, end] : m_loading)
-        report.loading.push_back({ endpoint, std::chrono::ceil<milliseconds>(end - now) });
-    std::erase_if(m_loaded, [now](const auto& entry) { return entry.second <= now; });
-    for (const auto& [weights, end] : m_loaded)
-        report.loaded.push_back(weights);
+    report.loading = loadingEngines(now);
+    report.loaded = recentlyLoaded(now);
     const auto observedSince = now - kReportsPerObservation * reportInterval();
     report.blockUses = m_state.blocks.recentLocalUses(observedSince, now);
     report.quarantine = m_state.quarantine.report(observedSince, now);
@@ -122,11 +121,47 @@
     return report;
 }
 
+std::vector<LoadingEngine> PeerTask::loadingEngines(MonotonicTime now)
+{
+    std::erase_if(m_loading, [now](const auto& entry) { return entry.second <= now; });
+    std::vector<LoadingEngine> loading;
+    for (const auto& [endpoint, end] : m_loading)
+        loading.push_back({ endpoint, std::chrono::ceil<milliseconds>(end - now) });
+    return loading;
+}
+
+std::vector<LoadedWeights> PeerTask::recentlyLoaded(MonotonicTime now)
+{
+    std::erase_if(m_loaded, [now](const auto& entry) { return entry.second <= now; });
+    std::vector<LoadedWeights> loaded;
+    for (const auto& [weights, end] : m_loaded)
+        loaded.push_back(weights);
+    return loaded;
+}
+
+void PeerTask::sendToPeers(const Bytes& message)
+{
+    const auto peers = m_state.peers.addresses();
+    for (const auto& address : peers)
+        m_socket->send(address, asText(message));
+    m_state.metrics.add(Counter::PeerBytesSent, message.size() * peers.size());
+}
+
 void PeerTask::sendReport()
 {
-    const auto bytes = encodePeerReport(makeReport(MonotonicClock::now()));
-    for (const auto& address : m_state.peers.addresses())
-        m_socket->send(address, asText(bytes));
+    sendToPeers(encodePeerReport(makeReport(MonotonicClock::now())));
+}
+
+void PeerTask::requestNotice()
+{
+    m_noticeTimer.set(std::max(MonotonicClock::now(), m_nextNoticeAt));
+}
+
+void PeerTask::sendNotice()
+{
+    const auto now = MonotonicClock::now();
+    m_nextNoticeAt = now + reportInterval() / kNoticesPerReport;
+    sendToPeers(encodeLoadingNotice({ m_self.host, loadingEngines(now), recentlyLoaded(now), m_state.weightsRollout.journal().recentOrders(now) }));
 }
 
 void PeerTask::announceLoading(const EndpointId& endpoint, Duration time)
@@ -134,7 +169,7 @@
     const auto end = MonotonicClock::now() + time;
     m_loading[endpoint] = end;
     m_state.loads.pauseUntil(endpoint, end);
-    sendReport();
+    requestNotice();
 }
 
 void PeerTask::extendLoading(const EndpointId& endpoint, Duration time)
@@ -149,7 +184,7 @@
     m_loading.erase(weights.endpoint);
     m_loaded.emplace_back(weights, MonotonicClock::now() + kLoadedReportDuration);
     applyLoaded(weights);
-    sendReport();
+    requestNotice();
 }
 
 void PeerTask::applyLoaded(const LoadedWeights& weights)
@@ -166,32 +201,54 @@
 
 void PeerTask::onDatagram(std::string_view bytes)
 {
-    const auto report = decodePeerReport(asBytes(bytes));
-    if (!report || report->host == m_self.host)
+    const auto message = decodePeerMessage(asBytes(bytes));
+    if (!message)
+        return;
+    if (const auto* notice = std::get_if<LoadingNotice>(&*message))
+        onNotice(*notice);
+    else
+        onReport(std::get<PeerReport>(*message));
+}
+
+void PeerTask::onNotice(const LoadingNotice& notice)
+{
+    if (notice.host == m_self.host)
+        return;
+    const auto now = MonotonicClock::now();
+    m_state.weightsRollout.journal().onPeerOrders(notice.orderAges, now);
+    for (const auto& engine : notice.loading)
+        m_state.loads.pauseUntil(engine.endpoint, now + engine.remaining);
+    for (const auto& weights : notice.loaded)
+        applyLoaded(weights);
+}
+
+void PeerTask::onReport(const PeerReport& report)
+{
+    if (report.host == m_self.host)
         return;
     const auto now = MonotonicClock::now();
-    m_state.peers.add(report->host, report->address, report->incarnation, now);
-    m_state.peers.heard(report->host, report->isLeaving, now);
-    m_directory.onPeerReport(*report, now);
-    if (report->isAskingForOrderAges)
-        sendOrderAges(report->address, now);
-    m_state.rates.peerReported(report->host, report->incarnation, report->drawn, now);
-    for (const auto& engine : report->loading)
+    m_state.peers.add(report.host, report.address, report.incarnation, now);
+    m_state.peers.heard(report.host, report.isLeaving, now);
+    m_directory.onPeerReport(report, now);
+    if (report.isAskingForOrderAges)
+        sendOrderAges(report.address, now);
+    m_state.rates.peerReported(report.host, report.incarnation, report.drawn, now);
+    for (const auto& engine : report.loading)
         m_state.loads.pauseUntil(engine.endpoint, now + engine.remaining);
-    for (const auto& weights : report->loaded)
+    for (const auto& weights : report.loaded)
         applyLoaded(weights);
-    m_state.blocks.recordPeerUses(report->blockUses, now);
-    m_state.loads.setPeerPendingPrefillTokens(report->host, report->pendingPrefillTokens, now);
-    m_state.paces.recordPeerReport(report->host, report->pace, now);
-    applyLeaving(*report, now);
+    m_state.blocks.recordPeerUses(report.blockUses, now);
+    m_state.loads.setPeerPendingPrefillTokens(report.host, report.pendingPrefillTokens, now);
+    m_state.paces.recordPeerReport(report.host, report.pace, now);
+    applyLeaving(report, now);
     if (m_state.versionRollouts)
-        m_state.versionRollouts->recordPeerReport(report->host, report->incarnation, report->rollouts, now);
+        m_state.versionRollouts->recordPeerReport(report.host, report.incarnation, report.rollouts, now);
     // The ages in a report that was received late are too low.
     if (!m_standstills.mayReadBacklog(now)) {
-        logQuarantineChanges(m_state.quarantine.recordPeerReport(report->quarantine, now));
-        applyAdvisories(*report, now);
+        logQuarantineChanges(m_state.quarantine.recordPeerReport(report.quarantine, now));
+        applyAdvisories(report, now);
     }
-    fetchNewerRecords(*report);
+    fetchNewerRecords(report);
 }
 
 void PeerTask::applyLeaving(const PeerReport& report, MonotonicTime now)
--- a/src/hornbeamgate/runtime/gateway/peer_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.hpp
@@ -20,7 +20,8 @@
     const SocketAddress& address() const { return m_self.peers; }
     /// Sends a report to all other daemons immediately.
     void sendReport();
-    /// Makes all daemons stop sending requests to an engine that is about to load weights.
+    /// Makes all daemons stop sending requests to an engine that is about to load weights. Announcements that follow each other
+    /// closely are sent together.
     void announceLoading(const EndpointId& endpoint, Duration time);
     /// Prolongs the time without a report of its own; the next one tells the others.
     void extendLoading(const EndpointId& endpoint, Duration time);
@@ -35,7 +36,14 @@
 
     void report();
     std::chrono::milliseconds reportInterval() const;
+    void requestNotice();
+    void sendNotice();
+    void sendToPeers(const Bytes& message);
+    std::vector<LoadingEngine> loadingEngines(MonotonicTime now);
+    std::vector<LoadedWeights> recentlyLoaded(MonotonicTime now);
     void onDatagram(std::string_view bytes);
+    void onReport(const PeerReport& report);
+    void onNotice(const LoadingNotice& notice);
     void applyLeaving(const PeerReport& report, MonotonicTime now);
     void applyAdvisories(const PeerReport& report, MonotonicTime now);
     void applyLoaded(const LoadedWeights& weights);
@@ -55,6 +63,8 @@
     std::map<EndpointId, MonotonicTime> m_loading;
     std::vector<std::pair<LoadedWeights, MonotonicTime>> m_loaded; ///< each with the time until which it is reported
     Timer m_timer;
+    Timer m_noticeTimer;
+    MonotonicTime m_nextNoticeAt {};
     StandstillDetector m_standstills;
 };
 
--- a/tests/gateway/peer_report.test.cpp
+++ b/tests/gateway/peer_report.test.cpp
@@ -214,3 +214,20 @@
     report.quarantine = quarantine.report(MonotonicTime {}, MonotonicTime {} + std::chrono::seconds(2));
     CHECK(encodePeerReport(report).size() <= kMaxDatagramPayload);
 }
+
+TEST_CASE("a notice of loading engines round-trips, and daemons that do not know notices ignore it [gateway]")
+{
+    const LoadingNotice notice { HostId("g2"), { { EndpointId("e1"), 250ms } }, { { EndpointId("e2"), ModelId("m"), WeightsVersion(3) } }, { { EndpointId("e1"), LogOffset(7), 40ms } } };
+    const auto encoded = encodeLoadingNotice(notice);
+    const auto message = decodePeerMessage(encoded);
+    REQUIRE(message);
+    const auto& decoded = std::get<LoadingNotice>(*message);
+    CHECK(decoded.host == notice.host);
+    REQUIRE(decoded.loading.size() == 1);
+    CHECK(decoded.loading.front().endpoint == EndpointId("e1"));
+    CHECK(decoded.loading.front().remaining == 250ms);
+    REQUIRE(decoded.loaded.size() == 1);
+    CHECK(decoded.loaded.front().version == WeightsVersion(3));
+    CHECK(decoded.orderAges == notice.orderAges);
+    CHECK_FALSE(decodePeerReport(encoded));
+}
--- a/tests/platform/weights_task.test.cpp
+++ b/tests/platform/weights_task.test.cpp
@@ -20,19 +20,26 @@
 const ModelId kModel("m");
 const EndpointId kEngine("e1");
 
-/// Rollout leader with one engine that lacks the newest weights.
+/// Rollout leader with a peer and engines that lack the newest weights.
 struct LeaderFixture {
-    LeaderFixture()
+    explicit LeaderFixture(int engines = 1)
     {
         auto created = PeerTask::create(state, directoryTask, self);
         REQUIRE(created);
         peers = std::move(*created);
+        // The engine's TCP port is free for UDP.
+        auto opened = UdpSocket::create(engine.address(), [this](std::string_view message) { peerMessages.emplace_back(message); });
+        REQUIRE(opened);
+        peerSocket = std::move(*opened);
+        state.peers.add(HostId("front-2"), engine.address(), Incarnation(1), MonotonicClock::now());
         weights = std::make_unique<WeightsTask>(state, directory, control, *peers, self.host);
-        EndpointEntry entry;
-        entry.id = kEngine;
-        entry.address = engine.address();
-        entry.weights[kModel] = WeightsVersion(1);
-        state.registry.put(entry);
+        for (int number = 1; number <= engines; ++number) {
+            EndpointEntry entry;
+            entry.id = EndpointId("e" + std::to_string(number));
+            entry.address = engine.address();
+            entry.weights[kModel] = WeightsVersion(1);
+            state.registry.put(entry);
+        }
         state.weightsRollout.setTarget(kModel, WeightsVersion(2), MonotonicClock::now());
         state.weightsRollout.confirm(FencingToken(4), MonotonicClock::now() + 1h, MonotonicClock::now());
         weights->start();
@@ -67,8 +74,24 @@
     FakeDirectory directory;
     DaemonEntry self { HostId("front-1"), Incarnation(5), { "127.0.0.1", 0 } };
     DirectoryTask directoryTask { state, directory, self };
+    /// Returns the engines of which the peer knows that they load.
+    std::set<EndpointId> announcedLoads() const
+    {
+        std::set<EndpointId> engines;
+        for (const auto& text : peerMessages) {
+            const auto message = decodePeerMessage({ reinterpret_cast<const std::uint8_t*>(text.data()), text.size() });
+            REQUIRE(message);
+            const auto* notice = std::get_if<LoadingNotice>(&*message);
+            for (const auto& loading : notice ? notice->loading : std::get<PeerReport>(*message).loading)
+                engines.insert(loading.endpoint);
+        }
+        return engines;
+    }
+
     ScriptedServer engine;
     std::unique_ptr<PeerTask> peers;
+    std::vector<std::string> peerMessages;
+    std::unique_ptr<UdpSocket> peerSocket;
     std::unique_ptr<WeightsTask> weights;
 };
 
@@ -105,3 +128,21 @@
     REQUIRE(runUntil([&] { return MonotonicClock::now() > end; }));
     CHECK(fixture.engine.received(0).find("/hornbeamgate/order") == std::string::npos);
 }
+
+TEST_CASE("a leader that starts many loads does not fill its link with messages to its peers [weights]")
+{
+    constexpr int kEngines = 60;
+    LeaderFixture fixture(kEngines);
+    const auto loads = WeightsRollout::maxConcurrentLoads(kEngines);
+    REQUIRE(runUntil([&] { return fixture.announcedLoads().size() == loads; }));
+    // All loads start together.
+    CHECK(fixture.peerMessages.size() == 1);
+    // Engines that do not answer become due again and again.
+    fixture.peerMessages.clear();
+    const auto end = MonotonicClock::now() + 3s;
+    REQUIRE(runUntil([&] { return MonotonicClock::now() > end; }));
+    std::size_t bytes = 0;
+    for (const auto& message : fixture.peerMessages)
+        bytes += message.size();
+    CHECK(bytes <= 3 * 9'000);
+}
