Plan the loads of each model's weights by itself

Cause: operations in progress were counted over all models, and one average served as the load time of all. Only engines that serve a model count now, so an engine that serves both counts for both.

The new test fails before (no order for the second model where two are allowed) and passes now; the single-model tests are unchanged but for the model that a recorded time belongs to.

--- a/src/hornbeamgate/gateway/weights_rollout.cpp
+++ b/src/hornbeamgate/gateway/weights_rollout.cpp
@@ -172,13 +172,15 @@
 {
     auto needed = maxConcurrentLoads(engines.size(), m_isCapacityScarce);
     const auto named = m_targetHistory.find(model);
-    if (named == m_targetHistory.end() || m_loadTime == Duration::zero())
+    const auto known = m_loadTimes.find(model);
+    if (named == m_targetHistory.end() || known == m_loadTimes.end())
         return needed;
+    const auto loadTime = known->second;
     for (const auto& target : named->second) {
         const auto behind = std::count_if(engines.begin(), engines.end(), [&target](auto version) { return version < target.version; });
         const auto plannedEnd = target.at + std::chrono::duration_cast<Duration>(m_bound * kPlannedShare);
-        const std::chrono::duration<double> timeLeft = std::max<Duration>(plannedEnd - now, m_loadTime);
-        const auto loads = static_cast<double>(behind) * (std::chrono::duration<double>(m_loadTime) / timeLeft);
+        const std::chrono::duration<double> timeLeft = std::max<Duration>(plannedEnd - now, loadTime);
+        const auto loads = static_cast<double>(behind) * (std::chrono::duration<double>(loadTime) / timeLeft);
         needed = std::max(needed, static_cast<std::size_t>(std::ceil(loads)));
     }
     return std::min(needed, maxConcurrentLoads(engines.size()));
@@ -192,11 +194,14 @@
     for (const auto& [model, target] : m_targets) {
         std::vector<WeightsVersion> engines;
         std::vector<const EndpointEntry*> outdated;
+        // Engines of other models don't serve this one, so their loads leave its capacity as it is.
+        std::size_t loading = 0;
         for (const auto& [id, entry] : registry.entries()) {
             const auto known = entry.weights.find(model);
             if (known == entry.weights.end())
                 continue;
             engines.push_back(known->second);
+            loading += m_inProgress.contains(id) ? 1 : 0;
             if (known->second < target && !entry.isLeaving && !advisories.isLeaving(instanceOf(entry)) && !advisories.isPaused(instanceOf(entry), now))
                 outdated.push_back(&entry);
         }
@@ -204,13 +209,14 @@
         std::stable_sort(outdated.begin(), outdated.end(), [&model = model](const auto* left, const auto* right) { return left->weights.at(model) < right->weights.at(model); });
         const auto limit = concurrentLoads(model, engines, now);
         for (const auto* entry : outdated) {
-            if (m_inProgress.size() >= limit)
+            if (loading >= limit)
                 break;
             const auto retry = m_retries.find(entry->id);
             if (m_journal.isBlocked(entry->id, now) || m_inProgress.contains(entry->id) || (retry != m_retries.end() && now < retry->second.at))
                 continue;
             const WeightsOrder order { entry->id, model, target, *m_token };
             m_inProgress.emplace(entry->id, order);
+            ++loading;
             due.push_back(order);
         }
     }
@@ -231,9 +237,11 @@
     ++retry.failures;
 }
 
-void WeightsRollout::recordLoadTime(Duration time)
+void WeightsRollout::recordLoadTime(const ModelId& model, Duration time)
 {
-    m_loadTime = m_loadTime == Duration::zero() ? time : m_loadTime + (time - m_loadTime) / kLoadTimeDivisor;
+    const auto [average, isFirst] = m_loadTimes.try_emplace(model, time);
+    if (!isFirst)
+        average->second += (time - average->second) / kLoadTimeDivisor;
 }
 
 std::size_t WeightsRollout::maxConcurrentLoads(std::size_t engines, bool isCapacityScarce)
--- a/src/hornbeamgate/gateway/weights_rollout.hpp
+++ b/src/hornbeamgate/gateway/weights_rollout.hpp
@@ -86,8 +86,8 @@
 
     /// Ends an order. An engine that still lacks the weights becomes due again after a delay that grows with each failure.
     void finishOrder(const EndpointId& endpoint, bool isLoaded, MonotonicTime now);
-    /// Records how long an ordered load took, with the requests that the engine finished before it.
-    void recordLoadTime(Duration time);
+    /// Records how long an ordered load of a model took, with the requests that the engine finished before it.
+    void recordLoadTime(const ModelId& model, Duration time);
 
     /// Returns how many of `engines` engines may load weights concurrently.
     static std::size_t maxConcurrentLoads(std::size_t engines, bool isCapacityScarce = false);
@@ -113,7 +113,7 @@
 
     Duration m_bound;
     std::optional<MonotonicTime> m_storeLostAt;
-    Duration m_loadTime {}; ///< moving average; zero until the first load
+    std::map<ModelId, Duration> m_loadTimes; ///< moving averages; none until the first load
     OrderJournal m_journal;
     std::map<ModelId, std::vector<TargetChange>> m_targetHistory; ///< by version
     std::map<ModelId, WeightsVersion> m_targets;
--- a/src/hornbeamgate/runtime/gateway/weights_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/weights_task.cpp
@@ -188,7 +188,7 @@
         m_peers.announceLoaded({ endpoint, known->first, known->second });
         m_state.loads.resume(endpoint);
         if (operation->isOrderSent)
-            m_state.weightsRollout.recordLoadTime(MonotonicClock::now() - operation->startedAt);
+            m_state.weightsRollout.recordLoadTime(operation->order.model, MonotonicClock::now() - operation->startedAt);
         finishOrder(endpoint, "in place", true);
         return;
     }
--- a/tests/gateway/weights_rollout.test.cpp
+++ b/tests/gateway/weights_rollout.test.cpp
@@ -243,7 +243,7 @@
                 continue;
             }
             registry.recordWeights(load->first, kModel, WeightsVersion(2));
-            rollout.recordLoadTime(kLoad);
+            rollout.recordLoadTime(kModel, kLoad);
             rollout.finishOrder(load->first, true, now);
             load = loadEnds.erase(load);
         }
@@ -258,11 +258,33 @@
     const auto registry = registryOf(44);
     auto rollout = leaderSince(at(-10s));
     rollout.setCapacityScarce(true);
-    rollout.recordLoadTime(700ms);
+    rollout.recordLoadTime(kModel, 700ms);
     rollout.setTarget(kModel, WeightsVersion(2), at(0ms));
     CHECK(rollout.takeDue(registry, kNoAdvice, at(0ms)).size() == WeightsRollout::maxConcurrentLoads(44, true));
 }
 
+TEST_CASE("Guards against a model whose engines wait for the loads of another model [weights]")
+{
+    auto registry = registryOf(30);
+    const ModelId other("z");
+    for (int i = 0; i < 6; ++i) {
+        EndpointEntry entry;
+        entry.id = EndpointId("z" + std::to_string(i));
+        entry.weights[other] = WeightsVersion(1);
+        registry.put(entry);
+    }
+    auto rollout = leaderSince(at(0ms));
+    rollout.setTarget(kModel, WeightsVersion(2), at(0ms));
+    rollout.setTarget(other, WeightsVersion(2), at(0ms));
+    const auto due = rollout.takeDue(registry, kNoAdvice, at(0ms));
+    const auto loadsOf = [&due](const ModelId& model) {
+        return static_cast<std::size_t>(std::count_if(due.begin(), due.end(), [&model](const auto& order) { return order.model == model; }));
+    };
+    CHECK(loadsOf(kModel) == WeightsRollout::maxConcurrentLoads(30));
+    CHECK(loadsOf(other) == WeightsRollout::maxConcurrentLoads(6));
+    CHECK(rollout.takeDue(registry, kNoAdvice, at(0ms)).empty());
+}
+
 TEST_CASE("requests must not be sent to engines past the bound, unless the store was not available meanwhile [weights]")
 {
     WeightsRollout rollout(HostId("front-1"), kLease, kBound);
