Take an order of a rollout for one of the store's copy only until the newest one is given again

Cause: the replaced order was remembered beyond the moment at which the copy can still show it. It is now forgotten when the newest order continues. The new test fails without the change (no request reaches the ordered version) and passes with it.

--- a/src/hornbeamgate/gateway/version_rollout.cpp
+++ b/src/hornbeamgate/gateway/version_rollout.cpp
@@ -728,6 +728,7 @@
     const bool isStatusOfOrder = service.status && service.status->order == rollout.order().offset;
     rollout.renumber(offset);
     service.isOrderLost = false;
+    service.previousOrder.reset();
     if (isStatusOfOrder)
         service.status->order = offset;
     // A state that the store holds under another position must be written again, so that daemons that start find it.
--- a/tests/gateway/version_rollout.test.cpp
+++ b/tests/gateway/version_rollout.test.cpp
@@ -500,6 +500,22 @@
     CHECK_FALSE(daemon.mayUse(third));
 }
 
+TEST_CASE("Guards against an order that is taken for one of the copy because its offset was given out again")
+{
+    Daemon daemon;
+    daemon.enterEra(0);
+    daemon.startRollout();
+    const auto third = engine("m1", "v3");
+    daemon.list({ daemon.oldEngine, daemon.newEngine, third });
+    daemon.rollouts.setOrder(order("v3", 6), 0ms, daemon.now);
+    daemon.enterEra(1);
+    daemon.rollouts.orderLost(kService);
+    daemon.rollouts.setOrder(order("v3", positionInEra(StoreEra(1), 2)), 0ms, daemon.now);
+    daemon.rollouts.setOrder(order("v2", positionInEra(StoreEra(1), 5)), 0ms, daemon.now);
+    CHECK(daemon.send(100) > 0);
+    CHECK_FALSE(daemon.mayUse(third));
+}
+
 TEST_CASE("Guards against a report that is too large for a datagram")
 {
     RolloutEvidence evidence;
