--- a/src/hornbeamgate/config/config_replica.hpp
+++ b/src/hornbeamgate/config/config_replica.hpp
@@ -107,7 +107,7 @@
     std::optional<MonotonicTime> m_confirmedAt;
     std::optional<MonotonicTime> m_readDue = MonotonicTime {}; ///< empty while a read is in progress
     std::optional<MonotonicTime> m_checkpointDue;
-    std::optional<MonotonicTime> m_openingDue; ///< set while the log's era has no checkpoint, or one of an older version
+    std::optional<MonotonicTime> m_openingDue; ///< set while the log's era has no checkpoint
     MonotonicTime m_roundDue = MonotonicTime {};
     bool m_isStarted = false;
     bool m_mayWait = false; ///< whether the log may delay the response to the next read
