--- a/src/hornbeamgate/gateway/peer_report.hpp
+++ b/src/hornbeamgate/gateway/peer_report.hpp
@@ -52,8 +52,8 @@
     PaceReport pace; ///< encoded last, and only if an endpoint is in slow start
 };
 
-/// What a rollout leader tells its peers between two reports. A report is ten times as large, and a leader starts many loads a
-/// second in a large fleet.
+/// What a rollout leader tells its peers between two reports. In a large fleet it starts many loads a second, and a full report
+/// for each of them would fill its link.
 struct LoadingNotice {
     HostId host;
     std::vector<LoadingEngine> loading;
