--- a/review/standins-2/harness.hpp
+++ b/review/standins-2/harness.hpp
@@ -349,9 +349,11 @@
 /// The platform's metadata store: a log with keyed topics and groups, as PROTOCOL.md tells.
 class Store {
 public:
-    explicit Store(Record& record)
+    /// With an era, the store states it in all answers and can come back from an older copy.
+    explicit Store(Record& record, std::optional<int> era = std::nullopt)
         : m_record(record)
-        , m_server([this](Connection& connection, const Message& message) { return connection.send(answer(message)); })
+        , m_era(era)
+        , m_server([this](Connection& connection, const Message& message) { return handle(connection, message); })
     {
     }
 
@@ -361,8 +363,7 @@
     void put(const std::string& topic, const std::string& key, const std::string& value)
     {
         const std::lock_guard lock(m_mutex);
-        m_topics[topic].push_back(bigEndian(key.size(), 1) + key + value);
-        m_changed.notify_all();
+        add(topic, bigEndian(key.size(), 1) + key + value);
     }
 
     void setDown(bool isDown) { m_server.setDown(isDown); }
@@ -372,9 +373,75 @@
     {
         const std::scoped_lock lock(m_mutex, other.m_mutex);
         m_topics = other.m_topics;
+        m_times = other.m_times;
+    }
+
+    /// The next append to `topic` gets no answer, and is carried out later if its condition still holds.
+    void loseNextAppend(const std::string& topic)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_losingTopic = topic;
+    }
+    /// Offset at which the lost append is to be made, once it has come.
+    std::optional<std::size_t> lostAppend()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_lost ? std::optional(std::strtoul(parameter(m_lost->first, "at").c_str(), nullptr, 10)) : std::nullopt;
+    }
+    /// Carries the lost append out if its condition holds.
+    bool carryOutLostAppend()
+    {
+        std::string target;
+        std::string body;
+        {
+            const std::lock_guard lock(m_mutex);
+            target = m_lost->first;
+            body = m_lost->second;
+        }
+        return append(target, body).starts_with("HTTP/1.1 200");
+    }
+    /// When the record at `offset` was appended.
+    Clock::time_point appendedAt(const std::string& topic, std::size_t offset)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_times[topic].at(offset);
+    }
+    /// Comes back from a copy that was made at `time`.
+    void returnFromCopy(Clock::time_point time)
+    {
+        const std::lock_guard lock(m_mutex);
+        for (auto& [topic, times] : m_times) {
+            while (!times.empty() && times.back() > time) {
+                times.pop_back();
+                m_topics[topic].pop_back();
+            }
+        }
+        m_era = m_era.value() + 1;
+        m_changed.notify_all();
     }
 
 private:
+    bool handle(Connection& connection, const Message& message)
+    {
+        auto text = answer(message);
+        if (text.empty()) {
+            // A connection on which an answer is lost returns nothing further.
+            std::this_thread::sleep_for(std::chrono::seconds(20));
+            return false;
+        }
+        const std::lock_guard lock(m_mutex);
+        if (m_era)
+            text.insert(text.find("\r\n") + 2, "Store-Era: " + std::to_string(*m_era) + "\r\n");
+        return connection.send(text);
+    }
+
+    void add(const std::string& topic, const std::string& record)
+    {
+        m_topics[topic].push_back(record);
+        m_times[topic].push_back(Clock::now());
+        m_changed.notify_all();
+    }
+
     static std::string parameter(const std::string& target, const std::string& name)
     {
         for (auto at = target.find('?'); at != std::string::npos; at = target.find('&', at + 1)) {
@@ -416,10 +483,25 @@
         return httpAnswer(404, {});
     }
 
+    static std::string printable(const std::string& text)
+    {
+        std::string shown;
+        for (const char c : text)
+            shown += c >= ' ' && c <= '~' ? c : '.';
+        return shown;
+    }
+
     std::string append(const std::string& target, const std::string& body)
     {
         const std::lock_guard lock(m_mutex);
-        auto& records = m_topics[parameter(target, "topic")];
+        const auto topic = parameter(target, "topic");
+        auto& records = m_topics[topic];
+        if (!m_losingTopic.empty() && topic == m_losingTopic) {
+            m_losingTopic.clear();
+            m_lost = { target, body };
+            m_record.line("store: an append to " + topic + " at " + parameter(target, "at") + " gets no answer: " + printable(body));
+            return {};
+        }
         const auto at = parameter(target, "at");
         if (!at.empty() && std::strtoul(at.c_str(), nullptr, 10) != records.size())
             return httpAnswer(412, "{\"end-offset\":" + std::to_string(records.size()) + '}', "Content-Type: application/json\r\n");
@@ -428,10 +510,11 @@
             std::size_t length = 0;
             for (int byte = 0; byte < 4; ++byte)
                 length = length << 8 | static_cast<unsigned char>(body[i + static_cast<std::size_t>(byte)]);
-            records.push_back(body.substr(i + 4, length));
+            add(topic, body.substr(i + 4, length));
             i += 4 + length;
         }
-        m_changed.notify_all();
+        if (topic == "keyed.orders")
+            m_record.line("store: " + topic + " ends at " + std::to_string(records.size()) + " with " + printable(body));
         return httpAnswer(200, "{\"offset\":" + std::to_string(offset) + ",\"end-offset\":" + std::to_string(records.size()) + '}', "Content-Type: application/json\r\n");
     }
 
@@ -441,7 +524,10 @@
         auto& records = m_topics[parameter(target, "topic")];
         const std::size_t from = std::strtoul(parameter(target, "from").c_str(), nullptr, 10);
         const auto wait = std::strtol(parameter(target, "wait-timeout-ms").c_str(), nullptr, 10);
-        m_changed.wait_for(lock, milliseconds(wait), [&] { return records.size() > from; });
+        const auto era = m_era;
+        m_changed.wait_for(lock, milliseconds(wait), [&] { return records.size() > from || m_era != era; });
+        if (from > records.size())
+            return httpAnswer(410, R"({"first-offset":0})", "Content-Type: application/json\r\n");
         std::string body = bigEndian(records.size(), 8) + bigEndian(0, 8);
         for (auto i = from; i < records.size(); ++i)
             body += bigEndian(records[i].size(), 4) + records[i];
@@ -515,7 +601,11 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, std::vector<std::string>> m_topics;
+    std::map<std::string, std::vector<Clock::time_point>> m_times; ///< of the records
     std::map<std::string, Group> m_groups;
+    std::optional<int> m_era;
+    std::string m_losingTopic;
+    std::optional<std::pair<std::string, std::string>> m_lost; ///< target and body of the lost append
     Server m_server;
 };
 
@@ -529,12 +619,13 @@
 public:
     using Run = std::function<bool(Engine&, Connection&, const Message&)>;
 
-    Engine(Store& store, std::string id, std::string service, std::string model, Run run)
+    Engine(Store& store, std::string id, std::string service, std::string model, Run run, int slots = 16)
         : m_store(&store)
         , m_id(std::move(id))
         , m_service(std::move(service))
         , m_model(std::move(model))
         , m_run(std::move(run))
+        , m_slots(slots)
         , m_server([this](Connection& connection, const Message& message) { return answer(connection, message); })
     {
         std::thread([this] {
@@ -596,7 +687,7 @@
         const std::lock_guard lock(m_mutex);
         const auto models = m_model.empty() ? std::string() : ",\"stage\":\"both\",\"models\":[{\"name\":\"" + m_model + "\",\"version\":" + std::to_string(m_version) + ",\"adapters\":[]}]";
         m_lastBeat = Clock::now();
-        m_store.load()->put("keyed.servers", m_id, "{\"service\":\"" + m_service + "\",\"address\":\"" + m_server.address() + "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":16,\"state\":\"ready\",\"cold-remaining-ms\":0" + models + ",\"sequence\":" + std::to_string(++m_sequence) + ",\"born\":" + std::to_string(m_born) + '}');
+        m_store.load()->put("keyed.servers", m_id, "{\"service\":\"" + m_service + "\",\"address\":\"" + m_server.address() + "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":" + std::to_string(m_slots) + ",\"state\":\"ready\",\"cold-remaining-ms\":0" + models + ",\"sequence\":" + std::to_string(++m_sequence) + ",\"born\":" + std::to_string(m_born) + '}');
     }
 
     std::atomic<Store*> m_store;
@@ -604,6 +695,7 @@
     std::string m_service;
     std::string m_model;
     Run m_run;
+    int m_slots;
     std::mutex m_mutex;
     std::atomic<long> m_version { 1 };
     std::atomic<std::uint64_t> m_born { unixMilliseconds() };
