Reject messages with a carriage return inside a line

Cause: Debian builds http_parser without its strict mode. It then takes any octet behind a carriage return for the line feed, in the status line, at the end of a value and at the end of the head. Field names of trailers were not checked at all. Ruled out: blanks and other control bytes in the names of a head; the parser's callbacks already rejected them, which the tests of this commit keep. The strict variant of the library is not packaged. Done: the head is fed line by line, and a carriage return that no line feed follows is an error. Names and values of trailers are checked like those of heads. Requests are checked too: a head that ends early there hides the length of the body.

--- a/src/hornbeamgate/runtime/net/http_parser.cpp
+++ b/src/hornbeamgate/runtime/net/http_parser.cpp
@@ -70,6 +70,7 @@
         Value } fieldPart
         = FieldPart::None; ///< part of the last field that arrived last
     bool isReadingHead = true;
+    bool isAfterCarriageReturn = false; ///< in the head
     std::string statusLineStart; ///< of the response that is being read, up to kStatusLineStart octets
     bool isInside = false;
     bool isComplete = false;
@@ -93,6 +94,18 @@
         return trailerBytes > limits.maxHeadBytes ? fail("the trailer is too large", true) : 0;
     }
 
+    /// Checks the next octets of a head, which belong to one line. http_parser takes any octet behind a carriage return for the
+    /// line feed, so that it would end the head early or drop the octet.
+    bool acceptsLineEnd(std::string_view octets)
+    {
+        if (octets.empty())
+            return true;
+        const auto carriageReturn = octets.find('\r');
+        const bool isEndAccepted = !isAfterCarriageReturn || octets == "\n";
+        isAfterCarriageReturn = carriageReturn == octets.size() - 1;
+        return isEndAccepted && (carriageReturn == std::string_view::npos || isAfterCarriageReturn || octets.substr(carriageReturn) == "\r\n");
+    }
+
     /// Checks the next octets of a head, which belong to one line.
     bool acceptsStatusLine(std::string_view octets)
     {
@@ -144,10 +157,10 @@
     static int onName(http_parser* parser, const char* at, std::size_t length)
     {
         auto& self = of(parser);
-        if (!self.isReadingHead)
-            return self.addTrailerBytes(length);
         if (!hasOnlyTokenCharacters({ at, length }))
             return self.fail("malformed field name");
+        if (!self.isReadingHead)
+            return self.addTrailerBytes(length);
         if (self.fieldPart != FieldPart::Name)
             self.endField();
         self.fieldPart = FieldPart::Name;
@@ -158,10 +171,10 @@
     static int onValue(http_parser* parser, const char* at, std::size_t length)
     {
         auto& self = of(parser);
-        if (!self.isReadingHead)
-            return self.addTrailerBytes(length);
         if (hasControlCharacter({ at, length }))
             return self.fail("control character in a field value");
+        if (!self.isReadingHead)
+            return self.addTrailerBytes(length);
         if (self.fieldPart == FieldPart::Name)
             self.fields.beginValue();
         self.fieldPart = FieldPart::Value;
@@ -304,6 +317,8 @@
             slice = firstLine(slice.substr(0, state.limits.maxHeadBytes - state.headBytes));
         if (slice.empty() && !octets.empty())
             return failure(HttpParseError { "the head is too large", true });
+        if (state.isReadingHead && !state.acceptsLineEnd(slice))
+            return failure(HttpParseError { "carriage return without a line feed" });
         if (state.isReadingHead && !state.acceptsStatusLine(slice))
             return failure(HttpParseError { "malformed status line" });
         const std::size_t count = http_parser_execute(&state.parser, &State::settings(), slice.data(), slice.size());
--- a/tests/net/http_parser.test.cpp
+++ b/tests/net/http_parser.test.cpp
@@ -70,6 +70,7 @@
     CHECK_FALSE(parsesCompletely("POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc"));
     CHECK_FALSE(parsesCompletely("GET / HTTP/1.1\r\nHo st: h\r\n\r\n"));
     CHECK_FALSE(parsesCompletely(std::string("GET / HTTP/1.1\r\nHost: h\x01\r\n\r\n")));
+    CHECK_FALSE(parsesCompletely("POST / HTTP/1.1\r\nHost: h\r\n\rContent-Length: 3\r\n\r\nGET / HTTP/1.1\r\n\r\n"));
     CHECK_FALSE(parsesCompletely("not HTTP at all\r\n\r\n"));
 }
 
--- a/tests/net/response_samples.hpp
+++ b/tests/net/response_samples.hpp
@@ -53,6 +53,53 @@
     return samples;
 }
 
+/// Responses with a line in the head that violates RFC 9112, 5 or 2.2.
+inline std::vector<ResponseSample> invalidLines()
+{
+    std::vector<ResponseSample> samples {
+        withField("a blank in a name", "X Name: v"),
+        withField("a tab in a name", "X\tName: v"),
+        withField("a blank before a name", " X-Name: v"),
+        withField("a tab before a name", "\tX-Name: v"),
+        withField("a blank after a name", "X-Name : v"),
+        withField("a tab after a name", "X-Name\t: v"),
+        withField("no name", ": v"),
+        withField("a blank for a name", " : v"),
+        withField("no colon", "X-Name"),
+        withField("no colon, and blanks", "some words"),
+        withField("a separator in a name", "X(Name): v"),
+        withField("quotes around a name", "\"X-Name\": v"),
+        withField("an octet above 127 in a name", "X-N\xe4me: v"),
+        withField("a control byte in a value", "X-Name: v\x01w"),
+        withField("DEL in a value", "X-Name: v\x7fw"),
+        withField("NUL in a value", std::string("X-Name: v\0w", 11)),
+        withField("CR in a value", "X-Name: v\rw"),
+        withField("CR behind a value", "X-Name: v\r"),
+        withStatusLine("CR in the reason", "HTTP/1.1 200 O\rK"),
+        withStatusLine("CR behind the reason", "HTTP/1.1 200 OK\r"),
+        withField("CR before a line", "\rX-Name: v"),
+        withField("CR alone", "\rX"),
+        { "a blank after the name of the length", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody" },
+        { "a blank in the name of the length", "HTTP/1.1 200 OK\r\nContent Length: 4\r\n\r\nbody" },
+        { "a blank after the name of the coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" },
+        { "a blank in the name of the coding", "HTTP/1.1 200 OK\r\nTransfer Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" },
+        { "CR before the end of the head", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\rX-Name: v\r\n\r\nbody" },
+        { "an invalid name in an interim response", "HTTP/1.1 103 Early Hints\r\nX Name: v\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody" },
+    };
+    for (char octet = 0; octet < ' '; ++octet) {
+        if (octet == '\t' || octet == '\n')
+            continue;
+        samples.push_back(withField("a control byte in a name", std::string("X-N") + octet + "ame: v"));
+        samples.push_back(withField("a control byte before a name", octet + std::string("X-Name: v")));
+        samples.push_back(withField("a control byte after a name", std::string("X-Name") + octet + ": v"));
+    }
+    samples.push_back(withChunks("a blank in the name of a trailer field", "4\r\nbody\r\n0\r\nX Name: v\r\n\r\n"));
+    samples.push_back(withChunks("a control byte in the value of a trailer field", "4\r\nbody\r\n0\r\nX-Name: v\x01w\r\n\r\n"));
+    samples.push_back(withField("DEL in a name", "X-N\x7f"
+                                                 "ame: v"));
+    return samples;
+}
+
 /// Valid responses of unusual form, with the body that a reader must find.
 inline std::vector<ResponseSample> validResponses()
 {
--- a/tests/net/response_validity.test.cpp
+++ b/tests/net/response_validity.test.cpp
@@ -76,6 +76,11 @@
     checkRejected(invalidStatusLines());
 }
 
+TEST_CASE("a response with an invalid line in its head or trailer is not a response [http]")
+{
+    checkRejected(invalidLines());
+}
+
 TEST_CASE("valid responses of unusual form are read, however they are split [http]")
 {
     for (const auto& sample : validResponses()) {
@@ -90,9 +95,11 @@
 
 TEST_CASE("an exchange reports no invalid response as complete [exchange]")
 {
-    for (const auto& sample : invalidStatusLines()) {
-        CAPTURE(sample.name);
-        CHECK_FALSE(exchange(sample.octets).isComplete);
+    for (const auto& samples : { invalidStatusLines(), invalidLines() }) {
+        for (const auto& sample : samples) {
+            CAPTURE(sample.name);
+            CHECK_FALSE(exchange(sample.octets).isComplete);
+        }
     }
     for (const auto& sample : validResponses()) {
         CAPTURE(sample.name);
--- a/tests/platform/broken_responses.test.cpp
+++ b/tests/platform/broken_responses.test.cpp
@@ -9,14 +9,16 @@
 
 namespace {
 
-/// Adds the fields that the gateway expects of an endpoint's response to each head of `octets`.
+/// Adds the fields that the gateway expects of an endpoint's response to the last head in `octets`, if there is one.
 std::string signedBy(const std::string& octets)
 {
-    const std::string fields = "X-Hornbeamgate-Request-Id: r1\r\nX-Hornbeamgate-Server-Signature: sig\r\n";
-    std::string text = octets;
-    const auto final = text.rfind("HTTP/1.");
-    const auto line = final == std::string::npos ? text.find('\n') : text.find('\n', final);
-    return text.insert(line + 1, fields);
+    constexpr std::string_view kLineEnd = "\r\n";
+    const auto head = octets.rfind("HTTP/1.");
+    const auto start = octets.find(kLineEnd, head == std::string::npos ? 0 : head) + kLineEnd.size();
+    // A line that begins with a blank would continue the line before it.
+    const bool isContinuation = octets[start] == ' ' || octets[start] == '\t';
+    const auto at = isContinuation ? octets.find(kLineEnd, start) + kLineEnd.size() : start;
+    return std::string(octets).insert(at, "X-Hornbeamgate-Request-Id: r1\r\nX-Hornbeamgate-Server-Signature: sig\r\n");
 }
 
 void respondWith(GatewayFixture& fixture, const std::string& octets)
@@ -63,3 +65,9 @@
 {
     checkReplaced(invalidStatusLines());
 }
+
+// Guards against lines that reached callers, and against bodies that began in the middle of the head.
+TEST_CASE("a response with an invalid line in its head is replaced [request]")
+{
+    checkReplaced(invalidLines());
+}
