Reject responses whose body is not framed by RFC 9112

An engine's chunk that was longer than its size, a body that was still gzip-coded or an empty Content-Length became a complete answer with a body that was not the engine's. The length in a 103 response took the start of the final response for its body, and a 204 with a length was waited for until its deadline. Cause: Debian's http_parser has no strict mode and accepts any octets for the line ends of chunks; it reads a body with an unknown coding up to the end of the connection, and removeHopByHopFields drops the coding's name. It lets fields delimit a body after statuses that have none. Done: the parser stops behind each size and each chunk and checks the line end. A response with a body needs no Transfer-Encoding, or chunked alone in HTTP/1.1, and a Content-Length that is a number. Interim responses, 204 and 304 end with their heads. Ruled out: two lengths, a length beside chunks, and signed or too large numbers; the parser rejects them, which the tests keep.

--- a/src/hornbeamgate/runtime/net/http_parser.cpp
+++ b/src/hornbeamgate/runtime/net/http_parser.cpp
@@ -71,6 +71,8 @@
         = FieldPart::None; ///< part of the last field that arrived last
     bool isReadingHead = true;
     bool isAfterCarriageReturn = false; ///< in the head
+    bool isAtChunkLineEnd = false;
+    std::string lastOctets; ///< the last two that were parsed, for the line ends of chunks
     std::string statusLineStart; ///< of the response that is being read, up to kStatusLineStart octets
     bool isInside = false;
     bool isComplete = false;
@@ -94,6 +96,24 @@
         return trailerBytes > limits.maxHeadBytes ? fail("the trailer is too large", true) : 0;
     }
 
+    void keepLastOctets(std::string_view octets)
+    {
+        constexpr std::size_t kKept = 2;
+        lastOctets += octets.substr(octets.size() - std::min(octets.size(), kKept));
+        lastOctets.erase(0, lastOctets.size() - std::min(lastOctets.size(), kKept));
+    }
+
+    /// Checks the line end that was parsed last if it belongs to the framing of a chunked body, and lets the parser go on.
+    /// http_parser takes any two octets for the line end of a chunk.
+    bool acceptsChunkLineEnd()
+    {
+        if (std::exchange(isAtChunkLineEnd, false)) {
+            http_parser_pause(&parser, 0);
+            return lastOctets == "\r\n";
+        }
+        return !isComplete || !(parser.flags & F_CHUNKED) || lastOctets.ends_with('\n');
+    }
+
     /// Checks the next octets of a head, which belong to one line. http_parser takes any octet behind a carriage return for the
     /// line feed, so that it would end the head early or drop the octet.
     bool acceptsLineEnd(std::string_view octets)
@@ -192,6 +212,16 @@
         return isFound;
     }
 
+    /// Whether the fields of a response that say how long its body is can be relied on. http_parser ignores an empty
+    /// Content-Length and codings besides chunked, which no request asks for. HTTP/1.0 has no codings (RFC 9112, 6.1).
+    bool hasValidFraming() const
+    {
+        const auto codings = fields.findAll("Transfer-Encoding");
+        if (!codings.empty())
+            return codings.size() == 1 && equalsIgnoringCase(codings.front(), "chunked") && (parser.flags & F_CHUNKED) && parser.http_minor > 0;
+        return parser.content_length != ULLONG_MAX || !fields.find("Content-Length");
+    }
+
     static int onHead(http_parser* parser)
     {
         constexpr int kSkipBody = 1;
@@ -213,28 +243,25 @@
             self.fail("invalid status " + std::to_string(parser->status_code));
             return -1;
         }
+        // An interim response ends with its head, whatever its fields say.
         if (self.isInterim())
-            return 0;
+            return kSkipBody;
         // No request asks for another protocol.
         if (parser->status_code == kSwitchingProtocols) {
             self.fail("switch of protocols that was not requested");
             return -1;
         }
-        const bool hasNoBody = self.noBody;
+        const bool hasNoBody = self.noBody || isBodylessStatus(static_cast<int>(parser->status_code));
+        if (!hasNoBody && !self.hasValidFraming()) {
+            self.fail("malformed Content-Length or Transfer-Encoding");
+            return -1;
+        }
         HttpResponseHead head { static_cast<int>(parser->status_code), std::exchange(self.fields, {}), http_should_keep_alive(parser) != 0,
-            !hasNoBody && endsWithConnection(*parser) };
+            !hasNoBody && !(parser->flags & F_CHUNKED) && parser->content_length == ULLONG_MAX };
         self.handlers.responseHead(std::move(head));
         return hasNoBody ? kSkipBody : 0;
     }
 
-    /// Whether the body is delimited by the end of the connection.
-    static bool endsWithConnection(const http_parser& parser)
-    {
-        if (isBodylessStatus(static_cast<int>(parser.status_code)) || (parser.flags & F_SKIPBODY))
-            return false;
-        return !(parser.flags & F_CHUNKED) && parser.content_length == ULLONG_MAX;
-    }
-
     static int onBody(http_parser* parser, const char* at, std::size_t length)
     {
         auto& self = of(parser);
@@ -245,6 +272,22 @@
         return 0;
     }
 
+    /// Stops the parser behind the line end of a chunk's size or data, so that it can be checked.
+    int stopAtChunkLineEnd()
+    {
+        isAtChunkLineEnd = true;
+        http_parser_pause(&parser, 1);
+        return 0;
+    }
+
+    static int onChunkSize(http_parser* parser) { return of(parser).stopAtChunkLineEnd(); }
+
+    static int onChunkEnd(http_parser* parser)
+    {
+        // The last chunk ends with the message.
+        return (parser->flags & F_TRAILING) ? 0 : of(parser).stopAtChunkLineEnd();
+    }
+
     static int onComplete(http_parser* parser)
     {
         auto& self = of(parser);
@@ -267,6 +310,8 @@
             created.on_header_value = onValue;
             created.on_headers_complete = onHead;
             created.on_body = onBody;
+            created.on_chunk_header = onChunkSize;
+            created.on_chunk_complete = onChunkEnd;
             created.on_message_complete = onComplete;
             return created;
         }();
@@ -323,6 +368,9 @@
             return failure(HttpParseError { "malformed status line" });
         const std::size_t count = http_parser_execute(&state.parser, &State::settings(), slice.data(), slice.size());
         taken += count;
+        state.keepLastOctets(slice.substr(0, count));
+        if (!state.acceptsChunkLineEnd())
+            return failure(HttpParseError { "malformed line end in a chunked body" });
         if (state.isComplete) {
             state.isComplete = false;
             state.isReadingHead = true;
--- a/tests/net/response_samples.hpp
+++ b/tests/net/response_samples.hpp
@@ -100,6 +100,47 @@
     return samples;
 }
 
+/// Responses whose body is delimited in a way that violates RFC 9112, 6 and 7.
+inline std::vector<ResponseSample> invalidFraming()
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    return {
+        { "two lengths", ok + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbodyx" },
+        { "a list of lengths", ok + "Content-Length: 4, 5\r\n\r\nbodyx" },
+        { "an empty length", ok + "Content-Length:\r\n\r\nbody" },
+        { "a signed length", ok + "Content-Length: +4\r\n\r\nbody" },
+        { "a negative length", ok + "Content-Length: -4\r\n\r\nbody" },
+        { "a hexadecimal length", ok + "Content-Length: 0x4\r\n\r\nbody" },
+        { "letters behind the length", ok + "Content-Length: 4a\r\n\r\nbody" },
+        { "a length over 64 bits", ok + "Content-Length: 99999999999999999999\r\n\r\nbody" },
+        { "fewer octets than the length", ok + "Content-Length: 5\r\n\r\nbody" },
+        { "a length and chunks", ok + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" },
+        { "an unknown coding", ok + "Transfer-Encoding: x\r\n\r\nbody" },
+        { "an empty coding", ok + "Transfer-Encoding:\r\n\r\nbody" },
+        { "a coding that was not asked for", ok + "Transfer-Encoding: gzip\r\n\r\nbody" },
+        { "chunks over a coding that was not asked for", ok + "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" },
+        { "chunks twice", ok + "Transfer-Encoding: chunked, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" },
+        { "chunks twice in two lines", ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" },
+        { "chunks under another coding", ok + "Transfer-Encoding: chunked, gzip\r\n\r\n4\r\nbody\r\n0\r\n\r\n" },
+        { "chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" },
+        withChunks("no chunk", ""),
+        withChunks("no last chunk", "4\r\nbody\r\n"),
+        withChunks("no end of the trailer", "4\r\nbody\r\n0\r\n"),
+        withChunks("an incomplete chunk", "5\r\nbody"),
+        withChunks("no size", "\r\nbody\r\n0\r\n\r\n"),
+        withChunks("a size that is no number", "x\r\nbody\r\n0\r\n\r\n"),
+        withChunks("a negative size", "-4\r\nbody\r\n0\r\n\r\n"),
+        withChunks("a size with a prefix", "0x4\r\nbody\r\n0\r\n\r\n"),
+        withChunks("a size over 64 bits", "10000000000000004\r\nbody\r\n0\r\n\r\n"),
+        withChunks("CR without LF behind the size", "4\rxbody\r\n0\r\n\r\n"),
+        withChunks("CR without LF behind the last size", "4\r\nbody\r\n0\rx\r\n"),
+        withChunks("a chunk longer than its size", "4\r\nbodyxx0\r\n\r\n"),
+        withChunks("no line end behind a chunk", "4\r\nbody0\r\n\r\n"),
+        withChunks("LF in place of CR behind a chunk", "4\r\nbody\n\n0\r\n\r\n"),
+        withChunks("no end of the last line", "4\r\nbody\r\n0\r\n\rx"),
+    };
+}
+
 /// Valid responses of unusual form, with the body that a reader must find.
 inline std::vector<ResponseSample> validResponses()
 {
@@ -122,6 +163,11 @@
         { "a length with blanks", ok + "Content-Length: \t4 \r\n\r\nbody", "body" },
         { "an interim response", "HTTP/1.1 100 Continue\r\n\r\n" + final, "body" },
         { "several interim responses", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 199 x\r\n\r\n" + final, "body" },
+        { "an interim response with a length", "HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\n" + final, "body" },
+        { "an interim response with a coding", "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + final, "body" },
+        { "204 with a length", "HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\n", "" },
+        { "204 with a coding", "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n", "" },
+        { "304 with a length", "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n", "" },
         withChunks("chunks", "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n", "body"),
         withChunks("chunk extensions", "4;a=b;c=\"d\"\r\nbody\r\n0;e\r\n\r\n", "body"),
         withChunks("a trailer", "4\r\nbody\r\n0\r\nX-Name: v\r\n\r\n", "body"),
--- a/tests/net/response_validity.test.cpp
+++ b/tests/net/response_validity.test.cpp
@@ -81,6 +81,11 @@
     checkRejected(invalidLines());
 }
 
+TEST_CASE("a response with invalid framing is not complete [http]")
+{
+    checkRejected(invalidFraming());
+}
+
 TEST_CASE("valid responses of unusual form are read, however they are split [http]")
 {
     for (const auto& sample : validResponses()) {
@@ -95,7 +100,7 @@
 
 TEST_CASE("an exchange reports no invalid response as complete [exchange]")
 {
-    for (const auto& samples : { invalidStatusLines(), invalidLines() }) {
+    for (const auto& samples : { invalidStatusLines(), invalidLines(), invalidFraming() }) {
         for (const auto& sample : samples) {
             CAPTURE(sample.name);
             CHECK_FALSE(exchange(sample.octets).isComplete);
--- a/tests/platform/broken_responses.test.cpp
+++ b/tests/platform/broken_responses.test.cpp
@@ -71,3 +71,9 @@
 {
     checkReplaced(invalidLines());
 }
+
+// Guards against bodies that are cut off, joined with their framing or still coded.
+TEST_CASE("a response with invalid framing is replaced [request]")
+{
+    checkReplaced(invalidFraming());
+}
