Report a connection that is reset during an upload as broken

The engine had answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. Cause: the socket reports the error of its connection once. When the request was still being sent, the failing send() got ECONNRESET and kept it to itself, and the next recv() returned 0, which ends a body without a length as complete. Ruled out: uploads that fit into the socket's buffers, where recv() gets the error; the parser, which is told of an orderly close. Done: the stream keeps the reason why sending failed and ends as broken when the input ends after that; RFC 9112, 8 takes such a body for complete only if the connection indicated no error. A client's stream whose peer closes its side first ends when the request is sent, so that a server that then resets the connection is noticed, and one that reads on still gives its answer. Both of the gateway's readers, exchanges with endpoints and calls to the store, use this stream.

--- a/src/hornbeamgate/runtime/net/tcp_stream.cpp
+++ b/src/hornbeamgate/runtime/net/tcp_stream.cpp
@@ -65,6 +65,7 @@
     auto stream = std::unique_ptr<TcpStream>(new TcpStream(descriptor));
     if (::connect(descriptor, internal::asSockaddr(*address), sizeof *address) != 0 && errno != EINPROGRESS)
         return failure(NetError { internal::errnoMessage("connect") });
+    stream->m_sendsAfterInputEnd = true;
     stream->m_connectTimer.set(deadline);
     stream->updateInterest();
     return stream;
@@ -99,7 +100,7 @@
 
 void TcpStream::send(std::string_view octets)
 {
-    if (m_hasSendFailed)
+    if (m_sendFailure)
         return;
     // What follows a shared body is rare and small, so the rest of the body is copied then.
     if (m_body) {
@@ -120,7 +121,7 @@
         return;
     }
     send(octets);
-    if (m_hasSendFailed)
+    if (m_sendFailure)
         return;
     m_body = std::move(body);
     m_bodyOffset = 0;
@@ -177,6 +178,11 @@
     }
     if (alive.expired() || m_hasEnded)
         return;
+    if (m_hasInputEnded) {
+        flush();
+        endIfSent();
+        return;
+    }
     if (condition & (G_IO_IN | G_IO_HUP | G_IO_ERR))
         read();
 }
@@ -211,13 +217,25 @@
         return;
     }
     if (count == 0) {
-        end(StreamEnd::Finished, "closed by the peer");
+        m_hasInputEnded = true;
+        updateInterest();
+        endIfSent();
         return;
     }
     if (errno != EAGAIN && errno != EINTR)
         end(StreamEnd::Broken, internal::errnoMessage("recv"));
 }
 
+void TcpStream::endIfSent()
+{
+    // The socket reports the error of its connection once, and after that only the end of the data. If sending got the error,
+    // reading cannot tell a reset from an orderly close.
+    if (m_sendFailure)
+        end(StreamEnd::Broken, std::string(*m_sendFailure)); // a copy, as the handler may destroy the stream
+    else if (!m_sendsAfterInputEnd || unsent() == 0)
+        end(StreamEnd::Finished, "closed by the peer");
+}
+
 void TcpStream::flush()
 {
     m_sentOffset += write(std::string_view(m_unsent).substr(m_sentOffset));
@@ -243,11 +261,12 @@
 std::size_t TcpStream::write(std::string_view octets)
 {
     std::size_t written = 0;
-    while (written < octets.size() && !m_hasSendFailed) {
+    while (written < octets.size() && !m_sendFailure) {
         const auto count = ::send(m_descriptor, octets.data() + written, octets.size() - written, MSG_NOSIGNAL);
         if (count < 0) {
             // A failed send is reported when reading fails, after the data that the peer had sent is delivered.
-            m_hasSendFailed = errno != EAGAIN && errno != EINTR;
+            if (errno != EAGAIN && errno != EINTR)
+                m_sendFailure = internal::errnoMessage("send");
             break;
         }
         written += static_cast<std::size_t>(count);
@@ -262,9 +281,9 @@
     if (m_hasEnded)
         return;
     int interest = 0;
-    if (!m_isConnected || (unsent() > 0 && !m_hasSendFailed))
+    if (!m_isConnected || (unsent() > 0 && !m_sendFailure))
         interest |= G_IO_OUT;
-    if (m_isConnected && !m_isReadingPaused)
+    if (m_isConnected && !m_isReadingPaused && !m_hasInputEnded)
         interest |= G_IO_IN;
     g_source_modify_unix_fd(m_source.get(), m_tag, GIOCondition(interest));
 }
--- a/src/hornbeamgate/runtime/net/tcp_stream.hpp
+++ b/src/hornbeamgate/runtime/net/tcp_stream.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -19,7 +20,7 @@
 
 /// Reason for the end of a connection.
 enum class StreamEnd {
-    Finished, ///< orderly close by the peer
+    Finished, ///< orderly close by the peer, and nothing failed to be sent
     Refused, ///< the connection was never established
     Broken, ///< reset, timed out or failed after it was established
 };
@@ -36,7 +37,9 @@
         std::function<void()> drained {}; ///< optional; the socket has accepted all data that it did not accept at once
     };
 
-    /// Starts connecting. If the connection is not established by `deadline`, the stream ends with `Refused`.
+    /// Starts connecting. If the connection is not established by `deadline`, the stream ends with `Refused`. Once the peer
+    /// has closed its side, the stream ends when all data is sent, so that a peer that takes no more data is not mistaken for
+    /// one that has closed its side in an orderly way.
     static Result<std::unique_ptr<TcpStream>, NetError> connect(const SocketAddress& peer, MonotonicTime deadline);
 
     /// Takes ownership of an accepted socket.
@@ -72,6 +75,8 @@
     void onReady(GIOCondition condition);
     void finishConnecting();
     void read();
+    /// Ends the stream after the peer has closed its side, unless it is still to be sent to.
+    void endIfSent();
     void flush();
     /// Writes to the socket and returns the number of bytes that it took.
     std::size_t write(std::string_view octets);
@@ -84,7 +89,9 @@
     bool m_isConnected = false;
     bool m_isReadingPaused = false;
     bool m_finishAfterFlush = false;
-    bool m_hasSendFailed = false; ///< what is unsent will not be sent
+    bool m_sendsAfterInputEnd = false;
+    bool m_hasInputEnded = false;
+    std::optional<std::string> m_sendFailure; ///< reason why what is unsent will not be sent
     bool m_hasEnded = false;
     std::string m_unsent;
     std::size_t m_sentOffset = 0;
--- a/tests/net/scripted_server.hpp
+++ b/tests/net/scripted_server.hpp
@@ -49,6 +49,7 @@
     void drop(std::size_t connection) { m_streams.at(connection).reset(); }
     /// Leaves the data of later connections unread, so that drop() resets them.
     void pauseReading() { m_isReadingPaused = true; }
+    void resumeReading(std::size_t connection) { m_streams.at(connection)->pauseReading(false); }
     void waitForUnreadData(std::size_t connection)
     {
         // Arriving data does not wake the main loop while reading is paused.
--- a/tests/platform/broken_responses.test.cpp
+++ b/tests/platform/broken_responses.test.cpp
@@ -1,3 +1,4 @@
+#include "net/resetting_server.hpp"
 #include "net/response_samples.hpp"
 #include "platform/gateway_fixture.hpp"
 
@@ -77,3 +78,40 @@
 {
     checkReplaced(invalidFraming());
 }
+
+// Guards against part of a response that reached callers as all of it.
+TEST_CASE("a response without a length whose connection is reset during the upload is replaced [request]")
+{
+    constexpr const char* kAuthorization = "Authorization: Bearer key\r\n";
+    const auto part = signedBy("HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: part\n\n");
+    for (const std::size_t size : { std::size_t { 2 }, std::size_t { 65536 }, std::size_t { 1048576 }, HttpServerLimits().maxBodyBytes }) {
+        for (const auto delay : { 0ms, 20ms, 300ms }) {
+            for (const auto how : { ConnectionReset::Abort, ConnectionReset::CloseUnread }) {
+                CAPTURE(size);
+                CAPTURE(delay.count());
+                CAPTURE(toString(how));
+                const ResettingServer engine({ part, how, delay });
+                GatewayFixture booking;
+                booking.addEndpoint("e1", engine.address());
+                booking.request("/booking/a", kAuthorization, std::string(size, 'x'));
+                REQUIRE(runUntil([&] { return booking.has("\r\n\r\n"); }));
+                CHECK(booking.received.starts_with("HTTP/1.1 502 "));
+                CHECK_FALSE(booking.has("part"));
+                GatewayFixture read;
+                read.addFallback();
+                read.addEndpoint("e1", engine.address());
+                read.request("/read/a", kAuthorization, std::string(size, 'x'));
+                REQUIRE(runUntil([&] { return read.second.connections() == 1 || read.has("\r\n\r\n"); }));
+                REQUIRE(read.received.empty());
+                read.second.waitFor(0, std::string(size, 'x'));
+                read.second.send(0, signedBy("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"));
+                read.waitFor("\r\n\r\nwhole");
+                GatewayFixture stream;
+                stream.addEndpoint("e1", engine.address());
+                stream.request("/once/a", kAuthorization, std::string(size, 'x'));
+                REQUIRE(runUntil([&] { return stream.hasEnded || stream.has("\r\n0\r\n") || stream.has("HTTP/1.1 502 "); }));
+                CHECK_FALSE(stream.has("\r\n0\r\n"));
+            }
+        }
+    }
+}
--- a/tests/platform/gateway_fixture.hpp
+++ b/tests/platform/gateway_fixture.hpp
@@ -95,7 +95,7 @@
         state.registry.put(entry);
     }
 
-    void request(const std::string& target, const std::string& extra = "Authorization: Bearer key\r\n")
+    void request(const std::string& target, const std::string& extra = "Authorization: Bearer key\r\n", const std::string& body = "hi")
     {
         auto connected = TcpStream::connect(gateway->address(), MonotonicClock::now() + 5s);
         REQUIRE(connected);
@@ -103,7 +103,7 @@
         received.clear();
         hasEnded = false;
         caller->setHandlers({ {}, [this](std::string_view bytes) { received += bytes; }, [this](StreamEnd, const std::string&) { hasEnded = true; } });
-        caller->send("POST " + target + " HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamgate-Request-Id: r1\r\n" + extra + "Content-Length: 2\r\n\r\nhi");
+        caller->send("POST " + target + " HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamgate-Request-Id: r1\r\n" + extra + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
 
     void waitFor(const std::string& text)
