Read all HTTP responses with the strict parser

An agent took a service's answer with a blank in a field name for the booking's result, relayed pieces of an engine's stream whose status line was none, and took chunks that break off for a whole body. The log's client and hornbeamctl read records and positions from such responses. Cause: libsoup skips field lines that it cannot read, a Content-Length among them, and accepts statuses up to 999, other protocols and most broken framings. It gives no access to the head as it was received, so its users cannot check it. Ruled out: a status of 000 and a reset during the upload; libsoup reports both as errors. Done: HttpClient keeps its interface over the exchange and the parser of the gateway. What its users relied on stays: an idempotent request is sent again when a reused connection ends without a response, and a server that acknowledges nothing is waited for until the caller's deadline. Methods, targets and fields are checked before they are sent.

--- a/src/hornbeamgate/runtime/http/http_client.hpp
+++ b/src/hornbeamgate/runtime/http/http_client.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "hornbeamgate/base/time.hpp"
 #include "hornbeamgate/runtime/glib_support.hpp"
 #include "hornbeamgate/settings/settings_reader.hpp"
 
@@ -11,10 +10,12 @@
 #include <string_view>
 #include <vector>
 
-// NOLINTNEXTLINE(bugprone-reserved-identifier): the name is defined by libsoup.
-typedef struct _SoupSession SoupSession;
-// NOLINTNEXTLINE(bugprone-reserved-identifier): the name is defined by libsoup.
-typedef struct _SoupMessage SoupMessage;
+namespace hornbeamgate::gateway {
+struct HttpResponseHead;
+class HttpConnectionPool;
+class HttpExchange;
+enum class ExchangeFailure;
+} // namespace hornbeamgate::gateway
 
 namespace hornbeamgate {
 
@@ -37,8 +38,8 @@
 /// Status line and headers of a response.
 class HttpResponseHead {
 public:
-    explicit HttpResponseHead(SoupMessage* message)
-        : m_message(message)
+    explicit HttpResponseHead(const gateway::HttpResponseHead& head)
+        : m_head(head)
     {
     }
 
@@ -48,12 +49,12 @@
     std::uint64_t number(const char* name) const;
 
 private:
-    SoupMessage* m_message;
+    const gateway::HttpResponseHead& m_head;
 };
 
 enum class HttpErrorKind : std::uint8_t {
     NotConnected, ///< no connection was established, so the request was not sent
-    ResponseLost, ///< the connection broke; the request may have been executed
+    ResponseLost, ///< there was no valid and complete response; the request may have been executed
     DeadlinePassed, ///< no complete response before the deadline; the request may have been executed
     TooLarge, ///< the response exceeds the size limit; the request may have been executed
 };
@@ -84,40 +85,29 @@
     HttpCall(const HttpCall&) = delete;
     HttpCall& operator=(const HttpCall&) = delete;
 
-    /// Stops reading the response until `resume` is called, which applies backpressure to the server.
-    void pause() { m_paused = true; }
+    /// Stops reading the response until `resume` is called, which applies backpressure to the server. What was read before
+    /// is still delivered.
+    void pause();
     void resume();
 
 private:
     friend class HttpClient;
 
-    HttpCall(GObjectPtr<SoupMessage> message, HttpCallObserver& observer, std::shared_ptr<std::size_t> callsOfSession);
-    void start(SoupSession* session);
-    void read();
-    void fail(const GError& error);
-
-    static void onSent(GObject* session, GAsyncResult* result, gpointer reference);
-    static void onRead(GObject* stream, GAsyncResult* result, gpointer reference);
-
-    /// User data of asynchronous GIO operations; detects a call that was destroyed in the meantime.
-    struct Reference {
-        Liveness::Watch alive;
-        HttpCall* call;
-    };
-    Reference* makeReference() { return new Reference { m_liveness.watch(), this }; }
-    static HttpCall* takeReference(gpointer reference);
+    HttpCall(HttpRequest request, HttpCallObserver& observer, std::shared_ptr<gateway::HttpConnectionPool> pool);
+    void start();
+    void onFailed(gateway::ExchangeFailure failure, const std::string& reason);
 
+    HttpRequest m_request;
     HttpCallObserver* m_observer;
-    std::shared_ptr<std::size_t> m_callsOfSession; ///< number of calls of the session, including this one
-    Liveness m_liveness;
-    GObjectPtr<SoupMessage> m_message;
-    GObjectPtr<GCancellable> m_cancellable;
-    GObjectPtr<GInputStream> m_stream;
+    /// Shared, since a call may outlive its client and returns its connection at its end.
+    std::shared_ptr<gateway::HttpConnectionPool> m_pool;
+    std::unique_ptr<gateway::HttpExchange> m_exchange;
     bool m_paused = false;
-    bool m_reading = false;
+    Liveness m_liveness;
 };
 
-/// HTTP/1.1 client based on libsoup. It does not follow redirects, store cookies or retry requests.
+/// HTTP/1.1 client. It does not follow redirects or store cookies. It sends a request again only if its method is idempotent
+/// and the connection that it was sent over had been used before and ended without a response.
 class HttpClient {
 public:
     HttpClient();
@@ -128,16 +118,7 @@
     std::unique_ptr<HttpCall> start(const HttpRequest& request, HttpCallObserver& observer);
 
 private:
-    /// libsoup iterates over all calls of a session whenever one of them changes state, so the number of calls per
-    /// session is limited.
-    struct Session {
-        GObjectPtr<SoupSession> session;
-        std::shared_ptr<std::size_t> calls;
-    };
-
-    Session& sessionWithRoom();
-
-    std::vector<Session> m_sessions;
+    std::shared_ptr<gateway::HttpConnectionPool> m_pool;
 };
 
 } // namespace hornbeamgate
--- a/src/hornbeamgate/runtime/net/http_exchange.cpp
+++ b/src/hornbeamgate/runtime/net/http_exchange.cpp
@@ -57,7 +57,7 @@
         m_stream = std::move(pooled->stream);
         m_number = pooled->number;
     } else {
-        auto connected = TcpStream::connect(m_request.peer, m_request.connectDeadline);
+        auto connected = TcpStream::connect(m_request.peer, m_request.connectDeadline, m_request.unresponsivePeer);
         if (!connected) {
             // Report asynchronously, since the caller has no pointer to this exchange yet.
             post([this, reason = connected.error().detail, alive = m_liveness.watch()] {
--- a/src/hornbeamgate/runtime/net/http_exchange.hpp
+++ b/src/hornbeamgate/runtime/net/http_exchange.hpp
@@ -25,6 +25,7 @@
     std::shared_ptr<const std::string> sharedBody; ///< optional; follows `text`, and is not copied
     bool isHeadRequest = false;
     MonotonicTime connectDeadline {};
+    UnresponsivePeer unresponsivePeer = UnresponsivePeer::Disconnect; ///< for a new connection
     std::size_t maxBodyBytes = SIZE_MAX; ///< a larger response body is a failure
     /// Connections that are not used, such as those that carried the same request before: a late second copy of its earlier
     /// response there could not be told from the new one.
--- a/src/hornbeamgate/runtime/net/http_message.cpp
+++ b/src/hornbeamgate/runtime/net/http_message.cpp
@@ -13,6 +13,14 @@
     constexpr std::array<std::string_view, 8> kHopByHopFields { "Connection", "Keep-Alive", "Proxy-Connection",
         "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade" };
 
+    /// Characters besides letters and digits that RFC 9110 allows in a token.
+    constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
+
+    bool isTokenCharacter(char c)
+    {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || kTokenMarks.find(c) != std::string_view::npos;
+    }
+
     char lower(char c)
     {
         return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
@@ -63,6 +71,16 @@
     return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) { return lower(a) == lower(b); });
 }
 
+bool isToken(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+}
+
+bool isFieldValue(std::string_view text)
+{
+    return std::none_of(text.begin(), text.end(), [](char c) { return (static_cast<unsigned char>(c) < ' ' && c != '\t') || c == '\x7f'; });
+}
+
 void HttpFields::add(std::string_view name, std::string_view value)
 {
     m_text.reserve(m_text.size() + name.size() + value.size() + 2);
--- a/src/hornbeamgate/runtime/net/http_message.hpp
+++ b/src/hornbeamgate/runtime/net/http_message.hpp
@@ -83,6 +83,10 @@
 };
 
 bool equalsIgnoringCase(std::string_view left, std::string_view right);
+/// Returns whether `text` can be a method or a field name (RFC 9110, 5.6.2).
+bool isToken(std::string_view text);
+/// Returns whether `text` has no control character other than a tab.
+bool isFieldValue(std::string_view text);
 
 /// Removes the hop-by-hop fields, including those that the sender lists in the Connection field.
 void removeHopByHopFields(HttpFields& fields);
--- a/src/hornbeamgate/runtime/net/http_parser.cpp
+++ b/src/hornbeamgate/runtime/net/http_parser.cpp
@@ -9,21 +9,6 @@
 
 namespace {
 
-    /// Characters besides letters and digits that RFC 9110 allows in a field name.
-    constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
-
-    bool hasOnlyTokenCharacters(std::string_view name)
-    {
-        return std::all_of(name.begin(), name.end(), [](char c) {
-            return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || kTokenMarks.find(c) != std::string_view::npos;
-        });
-    }
-
-    bool hasControlCharacter(std::string_view value)
-    {
-        return std::any_of(value.begin(), value.end(), [](char c) { return (static_cast<unsigned char>(c) < ' ' && c != '\t') || c == '\x7f'; });
-    }
-
     /// Returns `octets` up to the first line feed.
     std::string_view firstLine(std::string_view octets)
     {
@@ -171,13 +156,13 @@
 
     static int onReason(http_parser* parser, const char* at, std::size_t length)
     {
-        return hasControlCharacter({ at, length }) ? of(parser).fail("control character in the reason phrase") : 0;
+        return isFieldValue({ at, length }) ? 0 : of(parser).fail("control character in the reason phrase");
     }
 
     static int onName(http_parser* parser, const char* at, std::size_t length)
     {
         auto& self = of(parser);
-        if (!hasOnlyTokenCharacters({ at, length }))
+        if (length > 0 && !isToken({ at, length }))
             return self.fail("malformed field name");
         if (!self.isReadingHead)
             return self.addTrailerBytes(length);
@@ -191,7 +176,7 @@
     static int onValue(http_parser* parser, const char* at, std::size_t length)
     {
         auto& self = of(parser);
-        if (hasControlCharacter({ at, length }))
+        if (!isFieldValue({ at, length }))
             return self.fail("control character in a field value");
         if (!self.isReadingHead)
             return self.addTrailerBytes(length);
--- a/src/hornbeamgate/runtime/net/tcp_stream.cpp
+++ b/src/hornbeamgate/runtime/net/tcp_stream.cpp
@@ -35,9 +35,8 @@
         setsockopt(descriptor, level, name, &value, sizeof value);
     }
 
-    void setConnectionOptions(int descriptor)
+    void setProbes(int descriptor)
     {
-        setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
         setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
         setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(kProbeInterval.count()));
         setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(kProbeInterval.count()));
@@ -52,7 +51,7 @@
 
 } // namespace
 
-Result<std::unique_ptr<TcpStream>, NetError> TcpStream::connect(const SocketAddress& peer, MonotonicTime deadline)
+Result<std::unique_ptr<TcpStream>, NetError> TcpStream::connect(const SocketAddress& peer, MonotonicTime deadline, UnresponsivePeer unresponsivePeer)
 {
     const auto address = internal::toSockaddr(peer);
     if (!address)
@@ -60,8 +59,11 @@
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0)
         return failure(NetError { internal::errnoMessage("socket") });
-    setConnectionOptions(descriptor);
-    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(kUnacknowledgedDataTimeout.count()));
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    if (unresponsivePeer == UnresponsivePeer::Disconnect) {
+        setProbes(descriptor);
+        setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(kUnacknowledgedDataTimeout.count()));
+    }
     auto stream = std::unique_ptr<TcpStream>(new TcpStream(descriptor));
     if (::connect(descriptor, internal::asSockaddr(*address), sizeof *address) != 0 && errno != EINPROGRESS)
         return failure(NetError { internal::errnoMessage("connect") });
@@ -73,7 +75,8 @@
 
 std::unique_ptr<TcpStream> TcpStream::adopt(int descriptor)
 {
-    setConnectionOptions(descriptor);
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setProbes(descriptor);
     auto stream = std::unique_ptr<TcpStream>(new TcpStream(descriptor));
     stream->m_isConnected = true;
     stream->updateInterest();
--- a/src/hornbeamgate/runtime/net/tcp_stream.hpp
+++ b/src/hornbeamgate/runtime/net/tcp_stream.hpp
@@ -25,6 +25,12 @@
     Broken, ///< reset, timed out or failed after it was established
 };
 
+/// What becomes of a connection whose peer acknowledges nothing.
+enum class UnresponsivePeer {
+    Disconnect, ///< it ends as broken
+    Await, ///< it stays open, for callers with deadlines of their own
+};
+
 /// Nonblocking TCP connection on the default main context.
 ///
 /// Any callback may destroy the stream. `ended` is the last callback.
@@ -40,7 +46,7 @@
     /// Starts connecting. If the connection is not established by `deadline`, the stream ends with `Refused`. Once the peer
     /// has closed its side, the stream ends when all data is sent, so that a peer that takes no more data is not mistaken for
     /// one that has closed its side in an orderly way.
-    static Result<std::unique_ptr<TcpStream>, NetError> connect(const SocketAddress& peer, MonotonicTime deadline);
+    static Result<std::unique_ptr<TcpStream>, NetError> connect(const SocketAddress& peer, MonotonicTime deadline, UnresponsivePeer unresponsivePeer = UnresponsivePeer::Disconnect);
 
     /// Takes ownership of an accepted socket.
     static std::unique_ptr<TcpStream> adopt(int descriptor);
--- a/tests/runtime/engine_run.test.cpp
+++ b/tests/runtime/engine_run.test.cpp
@@ -121,6 +121,24 @@
     }
 }
 
+// Guards against pieces of a run from a response that is none.
+TEST_CASE("an engine's stream with an invalid head is resumed, and nothing of it is relayed [runtime][engine]")
+{
+    const std::string events = event(0, "x") + event(1, "[DONE]");
+    for (const std::string head : { "HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 0200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nX Name: v\r\n\r\n", "HTTP/1.1 200 OK\r\nX\x01Name: v\r\n\r\n" }) {
+        CAPTURE(head);
+        RunFixture fixture;
+        fixture.run->start();
+        fixture.engine.waitFor(0, "/v1/completions");
+        fixture.engine.send(0, head + events);
+        fixture.engine.finish(0);
+        REQUIRE(runUntil([&] { return fixture.engine.connections() > 1 || fixture.isComplete || fixture.hasFailed; }));
+        CHECK_FALSE(fixture.isComplete);
+        CHECK_FALSE(fixture.hasFailed);
+        CHECK(fixture.pieces.empty());
+    }
+}
+
 TEST_CASE("an HTTP response that breaks off is an error, also without a length [runtime][http]")
 {
     struct Case {
--- a/tests/runtime/platform_log_client.test.cpp
+++ b/tests/runtime/platform_log_client.test.cpp
@@ -2,10 +2,12 @@
 
 #include "hornbeamgate/event_log/store_era.hpp"
 
+#include "net/scripted_server.hpp"
 #include "runtime/platform_fixture.hpp"
 
 using namespace hornbeamgate;
 using namespace hornbeamgate::testing;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -157,3 +159,31 @@
     CHECK(std::holds_alternative<LogUnreachable>(parseLogRead(before, answer(R"({"era":2,)" + page))));
     CHECK(std::get<AppendSucceeded>(parseAppend(kTicket, answer(R"({"era":4,"offset":9})"))).offset == positionInEra(StoreEra(4), 9));
 }
+
+// Guards against records and positions that the log did not give.
+TEST_CASE("an invalid response of the log is handled like a missing one [runtime][log]")
+{
+    const std::string record = "\r\n"
+                               R"({"offset":1})";
+    const std::string page = "\r\n"
+                             R"({"first":0,"next":0,"records":[]})";
+    for (const std::string start : { "HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nX Name: v\r\n", "HTTP/1.1 200 OK\r\nX\x01Name: v\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n" }) {
+        CAPTURE(start);
+        gateway::testing::ScriptedServer server;
+        PlatformLogClient client(server.address());
+        std::optional<LogReadEvent> read;
+        client.read("s", LogOffset(0), 0ms, 10s, [&](LogReadEvent event) { read = std::move(event); });
+        server.waitFor(0, "GET /streams/s/records");
+        server.send(0, start + page);
+        server.finish(0);
+        REQUIRE(runUntil([&] { return read.has_value(); }));
+        CHECK(std::holds_alternative<LogUnreachable>(*read));
+        std::optional<AppendEvent> appended;
+        client.append({ AppendTicket(1), "s", {} }, [&](const AppendEvent& event) { appended = event; });
+        server.waitFor(1, "POST /streams/s/records");
+        server.send(1, start + record);
+        server.finish(1);
+        REQUIRE(runUntil([&] { return appended.has_value(); }));
+        CHECK(std::holds_alternative<AppendOutcomeUnknown>(*appended));
+    }
+}
--- a/tests/runtime/service_dispatcher.test.cpp
+++ b/tests/runtime/service_dispatcher.test.cpp
@@ -3,6 +3,7 @@
 #include "hornbeamgate/runtime/http/http_server.hpp"
 #include "hornbeamgate/runtime/link/link_pool.hpp"
 #include "hornbeamgate/runtime/link/link_server.hpp"
+#include "net/scripted_server.hpp"
 #include "runtime/platform_fixture.hpp"
 
 #include <nlohmann/json.hpp>
@@ -107,3 +108,23 @@
     // Ended calls are destroyed by the main loop, before the agent that they refer to.
     runFor(50ms);
 }
+
+// Guards against a booking that is recorded with an answer that its service did not give.
+TEST_CASE("a booking whose service sends an invalid response has an unknown outcome [runtime][agent]")
+{
+    for (const std::string response : { "HTTP/1.1 000 OK\r\nContent-Length: 6\r\n\r\nbooked", "HTTP/1.1 200 OK\r\nX Name: v\r\nContent-Length: 6\r\n\r\nbooked",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nbooked\r\n" }) {
+        CAPTURE(response);
+        Agent agent({ 10s, 3s });
+        gateway::testing::ScriptedServer service;
+        agent.settings.endpointAddress = service.address();
+        const Caller caller(agent);
+        service.waitFor(0, "/book");
+        service.send(0, response);
+        service.finish(0);
+        REQUIRE(runUntil([&] { return caller.answer.has_value(); }));
+        REQUIRE(std::holds_alternative<RunFailed>(*caller.answer));
+        CHECK(std::get<RunFailed>(*caller.answer).error == RunError::OutcomeUnknown);
+        runFor(50ms);
+    }
+}
