Test the store's client with invalid and broken-off responses

Cause: the calls of the gateway to the store, to other gateways and to engines for orders use the exchange that was mended, but no test showed it for them. Done: tests that give HttpCall the sample responses and a reset while its request is being sent.

--- a/tests/net/connection_reset.test.cpp
+++ b/tests/net/connection_reset.test.cpp
@@ -1,4 +1,4 @@
-#include "hornbeamgate/runtime/net/http_exchange.hpp"
+#include "hornbeamgate/runtime/net/http_call.hpp"
 #include "hornbeamgate/runtime/net/http_server_connection.hpp"
 
 #include "net/resetting_server.hpp"
@@ -74,6 +74,21 @@
     }
 }
 
+TEST_CASE("a call whose connection is reset while its request is sent reports an error [exchange]")
+{
+    for (const auto delay : { 0ms, 20ms, 200ms }) {
+        CAPTURE(delay.count());
+        const ResettingServer server({ kPartOfResponse, ConnectionReset::Abort, delay });
+        HttpConnectionPool pool;
+        HttpCalls calls(pool);
+        std::optional<Result<HttpResponse, NetError>> result;
+        const auto head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(kLargestUpload) + "\r\n\r\n";
+        calls.start(server.address(), head + std::string(kLargestUpload, 'x'), CallLimits::until(MonotonicClock::now() + 10s), [&](auto response) { result = std::move(response); });
+        REQUIRE(runUntil([&] { return result.has_value(); }));
+        CHECK_FALSE(*result);
+    }
+}
+
 TEST_CASE("a response without a length is not complete when the server closes its side and then resets the upload [exchange]")
 {
     for (const auto delay : { 0ms, 1ms, 20ms, 200ms, 1000ms }) {
--- a/tests/net/response_validity.test.cpp
+++ b/tests/net/response_validity.test.cpp
@@ -1,4 +1,4 @@
-#include "hornbeamgate/runtime/net/http_exchange.hpp"
+#include "hornbeamgate/runtime/net/http_call.hpp"
 
 #include "net/response_samples.hpp"
 #include "net/scripted_server.hpp"
@@ -113,3 +113,22 @@
         CHECK(outcome.body == sample.body);
     }
 }
+
+TEST_CASE("a call reports an invalid response as an error [exchange]")
+{
+    for (const auto& samples : { invalidStatusLines(), invalidLines(), invalidFraming() }) {
+        for (const auto& sample : samples) {
+            CAPTURE(sample.name);
+            ScriptedServer server;
+            HttpConnectionPool pool;
+            HttpCalls calls(pool);
+            std::optional<Result<HttpResponse, NetError>> result;
+            calls.start(server.address(), "GET /one HTTP/1.1\r\nHost: h\r\n\r\n", CallLimits::until(MonotonicClock::now() + 10s), [&](auto response) { result = std::move(response); });
+            server.waitFor(0, "/one");
+            server.send(0, sample.octets);
+            server.finish(0);
+            REQUIRE(runUntil([&] { return result.has_value(); }));
+            CHECK_FALSE(*result);
+        }
+    }
+}
