Wait for the acknowledgement of a request whose server has closed its side

A server that closes its side and then resets the connection got its partial answer taken for complete when the rest of the upload had left for the socket's buffer. A process that crashes while it has read all that has arrived does this: its kernel closes the connection first and resets it when more arrives. Cause: the end of the input was reported once the stream itself held no unsent data, whatever the peer had acknowledged. Done: a client's stream whose input has ended waits until the peer has acknowledged all data, and takes the error of the connection from the socket before it reports an orderly end. A server that has read the request has acknowledged it, so its answer does not wait. Ruled out: requests that the server's own buffers hold, which are acknowledged; such an end is orderly by RFC 9112, 8. A server that reads on after closing its side still gives its answer.

--- a/src/hornbeamgate/runtime/net/tcp_stream.cpp
+++ b/src/hornbeamgate/runtime/net/tcp_stream.cpp
@@ -2,8 +2,10 @@
 
 #include "hornbeamgate/runtime/net/internal/socket_calls.hpp"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -23,6 +25,8 @@
     constexpr std::chrono::seconds kProbeInterval { 1 };
     /// Number of unanswered keep-alive probes after which the connection is dropped.
     constexpr int kMaxUnansweredProbes = 2;
+    /// Interval of the checks whether the peer has acknowledged all data. The kernel reports only errors.
+    constexpr std::chrono::milliseconds kAcknowledgementCheckInterval { 10 };
     /// Maximum number of bytes per read; holds a few long prompts.
     constexpr std::size_t kReadSize = 65536;
     /// Shared bodies up to this size are copied behind their heads, so that both leave in one segment.
@@ -86,6 +90,7 @@
 TcpStream::TcpStream(int descriptor)
     : m_descriptor(descriptor)
     , m_connectTimer([this] { end(StreamEnd::Refused, "connecting timed out"); })
+    , m_acknowledgementTimer([this] { endIfSent(); })
 {
     static GSourceFuncs functions { nullptr, nullptr, dispatch, nullptr, nullptr, nullptr };
     auto* source = g_source_new(&functions, sizeof(StreamSource));
@@ -192,10 +197,7 @@
 
 void TcpStream::finishConnecting()
 {
-    int error = 0;
-    socklen_t size = sizeof error;
-    getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
-    if (error != 0) {
+    if (const int error = socketError(); error != 0) {
         end(StreamEnd::Refused, std::strerror(error));
         return;
     }
@@ -233,10 +235,34 @@
 {
     // The socket reports the error of its connection once, and after that only the end of the data. If sending got the error,
     // reading cannot tell a reset from an orderly close.
+    takeSocketError();
     if (m_sendFailure)
         end(StreamEnd::Broken, std::string(*m_sendFailure)); // a copy, as the handler may destroy the stream
-    else if (!m_sendsAfterInputEnd || unsent() == 0)
+    else if (!m_sendsAfterInputEnd || (unsent() == 0 && isAllAcknowledged()))
         end(StreamEnd::Finished, "closed by the peer");
+    else if (unsent() == 0)
+        m_acknowledgementTimer.set(MonotonicClock::now() + kAcknowledgementCheckInterval);
+}
+
+bool TcpStream::isAllAcknowledged() const
+{
+    int octets = 0;
+    return ioctl(m_descriptor, SIOCOUTQ, &octets) != 0 || octets == 0;
+}
+
+void TcpStream::takeSocketError()
+{
+    const int error = socketError();
+    if (error != 0 && !m_sendFailure)
+        m_sendFailure = std::string("send: ") + std::strerror(error);
+}
+
+int TcpStream::socketError() const
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+    return error;
 }
 
 void TcpStream::flush()
@@ -298,6 +324,7 @@
     m_hasEnded = true;
     m_source.reset();
     m_connectTimer.clear();
+    m_acknowledgementTimer.clear();
     const auto handlers = m_handlers;
     handlers->ended(how, reason);
 }
--- a/src/hornbeamgate/runtime/net/tcp_stream.hpp
+++ b/src/hornbeamgate/runtime/net/tcp_stream.hpp
@@ -44,8 +44,8 @@
     };
 
     /// Starts connecting. If the connection is not established by `deadline`, the stream ends with `Refused`. Once the peer
-    /// has closed its side, the stream ends when all data is sent, so that a peer that takes no more data is not mistaken for
-    /// one that has closed its side in an orderly way.
+    /// has closed its side, the stream ends when it has acknowledged all data, so that a peer that takes no more is not mistaken
+    /// for one that has closed its side in an orderly way.
     static Result<std::unique_ptr<TcpStream>, NetError> connect(const SocketAddress& peer, MonotonicTime deadline, UnresponsivePeer unresponsivePeer = UnresponsivePeer::Disconnect);
 
     /// Takes ownership of an accepted socket.
@@ -81,8 +81,12 @@
     void onReady(GIOCondition condition);
     void finishConnecting();
     void read();
-    /// Ends the stream after the peer has closed its side, unless it is still to be sent to.
+    /// Ends the stream after the peer has closed its side, unless data is still to be sent or acknowledged.
     void endIfSent();
+    bool isAllAcknowledged() const;
+    /// Takes the error of the connection from the socket, which reports it once.
+    void takeSocketError();
+    int socketError() const;
     void flush();
     /// Writes to the socket and returns the number of bytes that it took.
     std::size_t write(std::string_view octets);
@@ -108,6 +112,7 @@
     EventSource m_source;
     gpointer m_tag = nullptr;
     Timer m_connectTimer;
+    Timer m_acknowledgementTimer; ///< set after the end of the input while data is not acknowledged
     Liveness m_liveness;
 };
 
--- a/tests/net/connection_reset.test.cpp
+++ b/tests/net/connection_reset.test.cpp
@@ -91,29 +91,36 @@
 
 TEST_CASE("a response without a length is not complete when the server closes its side and then resets the upload [exchange]")
 {
-    for (const auto delay : { 0ms, 1ms, 20ms, 200ms, 1000ms }) {
-        CAPTURE(delay.count());
-        const ResettingServer server({ kPartOfResponse, ConnectionReset::FinishThenAbort, delay });
-        const Upload upload(server.address(), kLargestUpload);
-        upload.waitForEnd();
-        CHECK_FALSE(upload.isComplete);
-        CHECK(upload.failure != ExchangeFailure::NotSent);
-        CHECK(isSocketError(upload.reason));
+    // The smaller uploads fit into the buffers of the client's socket, but not into those of the server's.
+    for (const std::size_t size : { std::size_t { 262144 }, std::size_t { 1048576 }, kLargestUpload }) {
+        for (const auto delay : { 0ms, 1ms, 20ms, 200ms, 1000ms }) {
+            CAPTURE(size);
+            CAPTURE(delay.count());
+            const ResettingServer server({ kPartOfResponse, ConnectionReset::FinishThenAbort, delay });
+            const Upload upload(server.address(), size);
+            upload.waitForEnd();
+            CHECK_FALSE(upload.isComplete);
+            CHECK(upload.failure != ExchangeFailure::NotSent);
+            CHECK(isSocketError(upload.reason));
+        }
     }
 }
 
 TEST_CASE("a response without a length is complete when the server closes its side and then reads the rest of the upload [exchange]")
 {
-    ScriptedServer server;
-    server.pauseReading();
-    const Upload upload(server.address(), kLargestUpload);
-    server.waitForUnreadData(0);
-    server.send(0, "HTTP/1.1 200 OK\r\n\r\nall of it");
-    server.finish(0);
-    runFor(50ms);
-    CHECK_FALSE(upload.isComplete);
-    server.resumeReading(0);
-    upload.waitForEnd();
-    CHECK(upload.isComplete);
-    CHECK(upload.body == "all of it");
+    for (const std::size_t size : { std::size_t { 1048576 }, kLargestUpload }) {
+        CAPTURE(size);
+        ScriptedServer server;
+        server.pauseReading();
+        const Upload upload(server.address(), size);
+        server.waitForUnreadData(0);
+        server.send(0, "HTTP/1.1 200 OK\r\n\r\nall of it");
+        server.finish(0);
+        runFor(50ms);
+        CHECK_FALSE(upload.isComplete);
+        server.resumeReading(0);
+        upload.waitForEnd();
+        CHECK(upload.isComplete);
+        CHECK(upload.body == "all of it");
+    }
 }
