--- a/src/hornbeamgate/runtime/net/http_parser.cpp
+++ b/src/hornbeamgate/runtime/net/http_parser.cpp
@@ -1,5 +1,7 @@
 #include "hornbeamgate/runtime/net/http_parser.hpp"
 
+#include "hornbeamgate/runtime/net/internal/head_line_check.hpp"
+
 #include <http_parser.h>
 
 #include <algorithm>
@@ -18,29 +20,10 @@
 
     constexpr int kStatusClass = 100;
     constexpr int kSwitchingProtocols = 101;
+    /// Range of valid statuses (RFC 9110, 15).
     constexpr int kFirstStatus = 100;
     constexpr int kLastStatus = 599;
 
-    bool isDigit(char c)
-    {
-        return c >= '0' && c <= '9';
-    }
-
-    /// Size of the protocol version, the status and the octet behind it in a status line.
-    constexpr std::size_t kStatusLineStart = std::string_view("HTTP/1.1 200 ").size();
-
-    /// Whether the first kStatusLineStart octets of a line begin a status line of HTTP/1 (RFC 9112, 4). http_parser accepts any
-    /// version, and leading zeros and blanks before the status.
-    bool beginsStatusLine(std::string_view start)
-    {
-        constexpr std::string_view kProtocol = "HTTP/1.";
-        constexpr std::string_view kSeparators = " \r\n";
-        const auto version = start.substr(kProtocol.size(), 2);
-        const auto status = start.substr(kProtocol.size() + version.size(), 3);
-        return start.starts_with(kProtocol) && isDigit(version[0]) && version[1] == ' ' && std::all_of(status.begin(), status.end(), isDigit)
-            && kSeparators.find(start.back()) != std::string_view::npos;
-    }
-
 } // namespace
 
 struct HttpParser::State {
@@ -55,10 +38,9 @@
         Value } fieldPart
         = FieldPart::None; ///< part of the last field that arrived last
     bool isReadingHead = true;
-    bool isAfterCarriageReturn = false; ///< in the head
+    internal::HeadLineCheck lineCheck { false };
     bool isAtChunkLineEnd = false;
     std::string lastOctets; ///< the last two that were parsed, for the line ends of chunks
-    std::string statusLineStart; ///< of the response that is being read, up to kStatusLineStart octets
     bool isInside = false;
     bool isComplete = false;
     bool noBody = false;
@@ -99,29 +81,6 @@
         return !isComplete || !(parser.flags & F_CHUNKED) || lastOctets.ends_with('\n');
     }
 
-    /// Checks the next octets of a head, which belong to one line. http_parser takes any octet behind a carriage return for the
-    /// line feed, so that it would end the head early or drop the octet.
-    bool acceptsLineEnd(std::string_view octets)
-    {
-        if (octets.empty())
-            return true;
-        const auto carriageReturn = octets.find('\r');
-        const bool isEndAccepted = !isAfterCarriageReturn || octets == "\n";
-        isAfterCarriageReturn = carriageReturn == octets.size() - 1;
-        return isEndAccepted && (carriageReturn == std::string_view::npos || isAfterCarriageReturn || octets.substr(carriageReturn) == "\r\n");
-    }
-
-    /// Checks the next octets of a head, which belong to one line.
-    bool acceptsStatusLine(std::string_view octets)
-    {
-        if (type == HTTP_REQUEST || statusLineStart.size() == kStatusLineStart)
-            return true;
-        statusLineStart += octets.substr(0, kStatusLineStart - statusLineStart.size());
-        if (statusLineStart.size() < kStatusLineStart)
-            return !octets.ends_with('\n');
-        return beginsStatusLine(statusLineStart);
-    }
-
     void endField()
     {
         if (fieldPart == FieldPart::Name)
@@ -223,7 +182,7 @@
             self.handlers.requestHead(std::move(head));
             return 0;
         }
-        self.statusLineStart.clear();
+        self.lineCheck.startHead();
         if (parser->status_code < kFirstStatus || parser->status_code > kLastStatus) {
             self.fail("invalid status " + std::to_string(parser->status_code));
             return -1;
@@ -331,6 +290,7 @@
 {
     auto state = std::make_unique<State>();
     state->type = HTTP_RESPONSE;
+    state->lineCheck = internal::HeadLineCheck(true);
     state->limits = limits;
     state->handlers = std::move(handlers);
     return std::unique_ptr<HttpParser>(new HttpParser(std::move(state)));
@@ -342,15 +302,14 @@
     std::size_t taken = 0;
     do {
         auto slice = octets.substr(taken);
-        // A slice that ends where the limit is reached counts the head exactly, although the parser reports no positions.
+        // A slice that ends where the limit is reached counts the head exactly, although the parser reports no positions. The
+        // line check takes one line at a time.
         if (state.isReadingHead)
             slice = firstLine(slice.substr(0, state.limits.maxHeadBytes - state.headBytes));
         if (slice.empty() && !octets.empty())
             return failure(HttpParseError { "the head is too large", true });
-        if (state.isReadingHead && !state.acceptsLineEnd(slice))
-            return failure(HttpParseError { "carriage return without a line feed" });
-        if (state.isReadingHead && !state.acceptsStatusLine(slice))
-            return failure(HttpParseError { "malformed status line" });
+        if (const auto fault = state.isReadingHead ? state.lineCheck.findFault(slice) : std::string_view(); !fault.empty())
+            return failure(HttpParseError { std::string(fault) });
         const std::size_t count = http_parser_execute(&state.parser, &State::settings(), slice.data(), slice.size());
         taken += count;
         state.keepLastOctets(slice.substr(0, count));
--- a/src/hornbeamgate/runtime/net/http_parser.hpp
+++ b/src/hornbeamgate/runtime/net/http_parser.hpp
@@ -11,7 +11,8 @@
 };
 
 /// Incremental parser for the HTTP/1.1 messages of one connection. It stops after each message, so that pipelined
-/// messages are handled one at a time. Chunk framing, chunk extensions and trailers are discarded as they arrive.
+/// messages are handled one at a time. Chunk framing, chunk extensions and trailers are discarded as they arrive, and so
+/// are interim responses. Responses are checked by RFC 9110 and 9112, since http_parser accepts more.
 class HttpParser {
 public:
     struct Handlers {
