Wait for the acknowledgement only during a body that ends with the connection

A server that closed its side before or within a response with a length or chunks was reported only when the request was acknowledged or the connection had timed out, 1.2 s later, although no response could come any more. Cause: the wait for the acknowledgement held for every end of the input of a client's stream. Done: the exchange asks its stream for the wait when a response ends with its connection; all other ends are reported at once. Evidence: of three such ends two took longer than 500 ms with the wait for all, none takes so long now; the tests of resets pass.

--- a/src/hornbeamgate/runtime/net/http_exchange.cpp
+++ b/src/hornbeamgate/runtime/net/http_exchange.cpp
@@ -142,6 +142,8 @@
         return;
     }
     m_hasAnswer = true;
+    if (head.endsWithConnection)
+        m_stream->endAfterAcknowledgement();
     m_keepAliveTime = keepAliveTime(head.fields);
     m_events.push_back({ Event::Kind::Head, std::move(head), {} });
 }
--- a/src/hornbeamgate/runtime/net/tcp_stream.cpp
+++ b/src/hornbeamgate/runtime/net/tcp_stream.cpp
@@ -71,7 +71,6 @@
     auto stream = std::unique_ptr<TcpStream>(new TcpStream(descriptor));
     if (::connect(descriptor, internal::asSockaddr(*address), sizeof *address) != 0 && errno != EINPROGRESS)
         return failure(NetError { internal::errnoMessage("connect") });
-    stream->m_sendsAfterInputEnd = true;
     stream->m_connectTimer.set(deadline);
     stream->updateInterest();
     return stream;
@@ -90,7 +89,7 @@
 TcpStream::TcpStream(int descriptor)
     : m_descriptor(descriptor)
     , m_connectTimer([this] { end(StreamEnd::Refused, "connecting timed out"); })
-    , m_acknowledgementTimer([this] { endIfSent(); })
+    , m_acknowledgementTimer([this] { endAfterInput(); })
 {
     static GSourceFuncs functions { nullptr, nullptr, dispatch, nullptr, nullptr, nullptr };
     auto* source = g_source_new(&functions, sizeof(StreamSource));
@@ -188,7 +187,7 @@
         return;
     if (m_hasInputEnded) {
         flush();
-        endIfSent();
+        endAfterInput();
         return;
     }
     if (condition & (G_IO_IN | G_IO_HUP | G_IO_ERR))
@@ -224,21 +223,21 @@
     if (count == 0) {
         m_hasInputEnded = true;
         updateInterest();
-        endIfSent();
+        endAfterInput();
         return;
     }
     if (errno != EAGAIN && errno != EINTR)
         end(StreamEnd::Broken, internal::errnoMessage("recv"));
 }
 
-void TcpStream::endIfSent()
+void TcpStream::endAfterInput()
 {
     // The socket reports the error of its connection once, and after that only the end of the data. If sending got the error,
     // reading cannot tell a reset from an orderly close.
     takeSocketError();
     if (m_sendFailure)
         end(StreamEnd::Broken, std::string(*m_sendFailure)); // a copy, as the handler may destroy the stream
-    else if (!m_sendsAfterInputEnd || (unsent() == 0 && isAllAcknowledged()))
+    else if (!m_endsAfterAcknowledgement || (unsent() == 0 && isAllAcknowledged()))
         end(StreamEnd::Finished, "closed by the peer");
     else if (unsent() == 0)
         m_acknowledgementTimer.set(MonotonicClock::now() + kAcknowledgementCheckInterval);
--- a/src/hornbeamgate/runtime/net/tcp_stream.hpp
+++ b/src/hornbeamgate/runtime/net/tcp_stream.hpp
@@ -43,9 +43,7 @@
         std::function<void()> drained {}; ///< optional; the socket has accepted all data that it did not accept at once
     };
 
-    /// Starts connecting. If the connection is not established by `deadline`, the stream ends with `Refused`. Once the peer
-    /// has closed its side, the stream ends when it has acknowledged all data, so that a peer that takes no more is not mistaken
-    /// for one that has closed its side in an orderly way.
+    /// Starts connecting. If the connection is not established by `deadline`, the stream ends with `Refused`.
     static Result<std::unique_ptr<TcpStream>, NetError> connect(const SocketAddress& peer, MonotonicTime deadline, UnresponsivePeer unresponsivePeer = UnresponsivePeer::Disconnect);
 
     /// Takes ownership of an accepted socket.
@@ -71,6 +69,9 @@
     bool hasNoInput() const;
 
     void pauseReading(bool paused);
+    /// After the peer has closed its side, lets the stream end only once the peer has acknowledged all data. A peer that takes no
+    /// more data is then not mistaken for one that has closed its side in an orderly way.
+    void endAfterAcknowledgement() { m_endsAfterAcknowledgement = true; }
     /// Shuts down the sending side once all buffered data is sent. The peer's close is still reported by `ended`.
     void finishSending();
 
@@ -81,8 +82,8 @@
     void onReady(GIOCondition condition);
     void finishConnecting();
     void read();
-    /// Ends the stream after the peer has closed its side, unless data is still to be sent or acknowledged.
-    void endIfSent();
+    /// Ends the stream after the peer has closed its side, unless an acknowledgement is awaited.
+    void endAfterInput();
     bool isAllAcknowledged() const;
     /// Takes the error of the connection from the socket, which reports it once.
     void takeSocketError();
@@ -99,7 +100,7 @@
     bool m_isConnected = false;
     bool m_isReadingPaused = false;
     bool m_finishAfterFlush = false;
-    bool m_sendsAfterInputEnd = false;
+    bool m_endsAfterAcknowledgement = false;
     bool m_hasInputEnded = false;
     std::optional<std::string> m_sendFailure; ///< reason why what is unsent will not be sent
     bool m_hasEnded = false;
--- a/tests/net/connection_reset.test.cpp
+++ b/tests/net/connection_reset.test.cpp
@@ -124,3 +124,21 @@
         CHECK(upload.body == "all of it");
     }
 }
+
+// Guards against a wait for a request that no response can come of.
+TEST_CASE("a server that closes its side before the end of a response fails the exchange at once [exchange]")
+{
+    for (const std::string start : { "", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n" }) {
+        CAPTURE(start);
+        ScriptedServer server;
+        server.pauseReading();
+        const Upload upload(server.address(), kLargestUpload);
+        server.waitForUnreadData(0);
+        server.send(0, start);
+        server.finish(0);
+        const auto began = MonotonicClock::now();
+        upload.waitForEnd();
+        CHECK(upload.failure == (start.empty() ? ExchangeFailure::NoAnswer : ExchangeFailure::BrokenAnswer));
+        CHECK(MonotonicClock::now() - began < 500ms);
+    }
+}
