--- /dev/null
+++ b/review/daesan_case.sh
@@ -0,0 +1,48 @@
+#!/usr/bin/env bash
+# Plays one case of review/11 to review/15: daesan_case.sh SCENARIO FOLDER
+# Starts the stand-in and one gateway daemon on loopback, and writes FOLDER/record.txt.
+# Exit code: 0 the rule held, 1 it was broken, 2 the case could not run. TROUBLE=0 leaves the disruption out.
+# KEEP_LOG names a file for the gateway's log.
+set -u
+scenario="$1"
+folder="$(cd "$2" && pwd)"
+cd "$(dirname "$0")/.."
+readonly descriptors=4100 # file-descriptors of the machine
+stand_in=review/standins-2/bin/daesan_front
+gateway=target/platform/hornbeamgate-gateway
+if [ ! -x "$stand_in" ] || [ ! -x "$gateway" ]; then
+  echo "build the deploy file and review/build-2.sh first" >&2
+  exit 2
+fi
+if ! ulimit -S -n "$((2 * descriptors))" 2>/dev/null; then
+  echo "needs $((2 * descriptors)) descriptors" >&2
+  exit 2
+fi
+directory="$(mktemp -d)"
+started=()
+cleanup() {
+  for pid in "${started[@]}"; do kill -KILL "$pid" 2>/dev/null; done
+  wait 2>/dev/null
+  [ -n "${KEEP_LOG:-}" ] && cp "$directory/gateway.log" "$KEEP_LOG"
+  rm -rf "$directory"
+}
+trap cleanup EXIT
+
+"$stand_in" "$scenario" "$directory" "${TROUBLE:-1}" &
+stand_in_pid=$!
+started+=("$stand_in_pid")
+for _ in $(seq 100); do
+  [ -e "$directory/local.json" ] && break
+  sleep 0.1
+done
+(
+  ulimit -S -n "$descriptors"
+  exec "$gateway" --settings "$directory/local.json"
+) >"$directory/gateway.log" 2>&1 &
+started+=("$!")
+echo "$!" >"$directory/gateway.pid.new"
+mv "$directory/gateway.pid.new" "$directory/gateway.pid"
+wait "$stand_in_pid"
+result=$?
+cp "$directory/record.txt" "$folder/record.txt" 2>/dev/null || result=2
+exit "$result"
