--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../daesan_case.sh" entry-with-unreadable-key "$(dirname "$0")"
+exec "$(dirname "$0")/../daesan_case.sh" last-tenant "$(dirname "$0")"
--- a/review/daesan_case.sh
+++ b/review/daesan_case.sh
@@ -5,8 +5,8 @@
 # KEEP_LOG names a file for the gateway's log.
 set -u
 scenario="$1"
-folder="$(cd "$2" && pwd)"
-cd "$(dirname "$0")/.."
+folder="$(cd "$2" && pwd)" || exit 2
+cd "$(dirname "$0")/.." || exit 2
 readonly descriptors=4100 # file-descriptors of the machine
 stand_in=review/standins-2/bin/daesan_front
 gateway=target/platform/hornbeamgate-gateway
@@ -19,18 +19,20 @@
   exit 2
 fi
 directory="$(mktemp -d)"
-started=()
+stand_in_pid=
+gateway_pid=
 cleanup() {
-  for pid in "${started[@]}"; do kill -KILL "$pid" 2>/dev/null; done
+  # timeout passes the signal on to the stand-in.
+  [ -n "$stand_in_pid" ] && kill -TERM "$stand_in_pid" 2>/dev/null
+  [ -n "$gateway_pid" ] && kill -KILL "$gateway_pid" 2>/dev/null
   wait 2>/dev/null
   [ -n "${KEEP_LOG:-}" ] && cp "$directory/gateway.log" "$KEEP_LOG"
   rm -rf "$directory"
 }
 trap cleanup EXIT
 
-"$stand_in" "$scenario" "$directory" "${TROUBLE:-1}" &
+timeout -k 2 110 "$stand_in" "$scenario" "$directory" "${TROUBLE:-1}" &
 stand_in_pid=$!
-started+=("$stand_in_pid")
 for _ in $(seq 100); do
   [ -e "$directory/local.json" ] && break
   sleep 0.1
@@ -39,10 +41,11 @@
   ulimit -S -n "$descriptors"
   exec "$gateway" --settings "$directory/local.json"
 ) >"$directory/gateway.log" 2>&1 &
-started+=("$!")
-echo "$!" >"$directory/gateway.pid.new"
+gateway_pid=$!
+echo "$gateway_pid" >"$directory/gateway.pid.new"
 mv "$directory/gateway.pid.new" "$directory/gateway.pid"
 wait "$stand_in_pid"
 result=$?
+[ "$result" -le 1 ] || result=2
 cp "$directory/record.txt" "$folder/record.txt" 2>/dev/null || result=2
 exit "$result"
