Bound the depth and the memory of documents from outside

Cause: an engine's report, of up to 16 MiB, was decoded into a document without a bound on depth or memory. Each "[" takes some 75 octets. Ruled out: the buffers of the response and the error text.

All JSON from outside is now read by parseJson, which walks over the text first and rejects what nests too deep or would take too much memory; CBOR gets the same bound on memory. Responses to the system's own calls are bounded by the size of a record of the store, pages and records of other gateways by 4 MiB; a gateway hands out records in parts of 2 MiB. The values of unreadable entries of engines are not kept.

Tests: "... that would take many times their size ..." of base, platform, runtime, settings and streams decode such texts in a process with little memory left.

--- a/src/hornbeamgate/base/cbor.hpp
+++ b/src/hornbeamgate/base/cbor.hpp
@@ -17,7 +17,8 @@
 /// Encodes `value` as CBOR (RFC 8949). Message codecs use arrays in place of maps to stay small.
 Bytes toCbor(const nlohmann::json& value);
 
-/// Decodes one CBOR item that must fill `bytes` entirely.
+/// Decodes one CBOR item that must fill `bytes` entirely. Items that nest deeper than 32 levels, or that would take more than
+/// 8 MiB and eight times their octets as a document, are rejected before the document is built.
 Result<nlohmann::json, CodecError> fromCbor(BytesView bytes);
 
 } // namespace hornbeamgate
--- a/src/hornbeamgate/gateway/directory_replica.cpp
+++ b/src/hornbeamgate/gateway/directory_replica.cpp
@@ -60,12 +60,21 @@
 
 std::vector<DirectoryRecord> DirectoryReplica::recordsFrom(DirectoryTopic topic, LogOffset from) const
 {
-    std::vector<DirectoryRecord> records;
+    std::vector<std::pair<std::string_view, const Known*>> found;
     for (const auto& [key, known] : m_topics[static_cast<std::size_t>(topic)]) {
         if (known.offset >= from)
-            records.push_back({ key, known.value, known.offset });
+            found.emplace_back(key, &known);
+    }
+    std::sort(found.begin(), found.end(), [](const auto& left, const auto& right) { return left.second->offset < right.second->offset; });
+    std::vector<DirectoryRecord> records;
+    std::size_t bytes = 0;
+    for (const auto& [key, known] : found) {
+        bytes += key.size() + (known->value ? known->value->size() : 0);
+        // Several withdrawals may have one offset.
+        if (bytes > kMaxReturnedBytes && !records.empty() && records.back().offset < known->offset)
+            break;
+        records.push_back({ std::string(key), known->value, known->offset });
     }
-    std::sort(records.begin(), records.end(), [](const auto& left, const auto& right) { return left.offset < right.offset; });
     return records;
 }
 
--- a/src/hornbeamgate/gateway/directory_replica.hpp
+++ b/src/hornbeamgate/gateway/directory_replica.hpp
@@ -41,6 +41,9 @@
 /// recognizes them by their contents.
 class DirectoryReplica {
 public:
+    /// Bounds what a daemon sends to another one at a time. A record, of up to 256 KiB, is always returned whole.
+    static constexpr std::size_t kMaxReturnedBytes = std::size_t { 2 } * 1024 * 1024;
+
     /// Returns whether no record of the key with the same or a newer offset is known.
     bool isNewer(DirectoryTopic topic, const DirectoryRecord& record) const;
     /// Returns whether the record has the value of the key that was known in an earlier era.
@@ -55,7 +58,8 @@
     /// Returns withdrawals for the known keys that are missing from a listing of all records before `end`.
     std::vector<DirectoryRecord> findWithdrawn(DirectoryTopic topic, const std::vector<DirectoryRecord>& listing, LogOffset end) const;
 
-    /// Returns the records with offsets of at least `from`, ordered by offset.
+    /// Returns the records with offsets of at least `from`, ordered by offset. Records beyond `kMaxReturnedBytes` are left
+    /// out; they follow the offset of the last one returned.
     std::vector<DirectoryRecord> recordsFrom(DirectoryTopic topic, LogOffset from) const;
 
     /// Offset after the newest record.
--- a/src/hornbeamgate/runtime/agent/cache_event_poller.cpp
+++ b/src/hornbeamgate/runtime/agent/cache_event_poller.cpp
@@ -1,5 +1,6 @@
 #include "hornbeamgate/runtime/agent/cache_event_poller.hpp"
 
+#include "hornbeamgate/base/json_document.hpp"
 #include "hornbeamgate/observability/log.hpp"
 
 #include <nlohmann/json.hpp>
@@ -42,12 +43,14 @@
 
 Result<CacheEventsRead, std::string> parseCacheEvents(const std::string& body)
 {
+    const auto answer = parseJson(body);
+    if (!answer)
+        return failure(answer.error().detail);
     CacheEventsRead read;
     try {
-        const auto answer = json::parse(body);
-        read.incarnation = Incarnation(answer.at("incarnation").get<std::uint64_t>());
-        read.next = answer.at("next").get<std::uint64_t>();
-        for (const auto& item : answer.at("events")) {
+        read.incarnation = Incarnation(answer->at("incarnation").get<std::uint64_t>());
+        read.next = answer->at("next").get<std::uint64_t>();
+        for (const auto& item : answer->at("events")) {
             const auto event = parseEvent(item);
             if (!event)
                 return failure(event.error());
--- a/src/hornbeamgate/runtime/agent/engine_monitor.cpp
+++ b/src/hornbeamgate/runtime/agent/engine_monitor.cpp
@@ -1,5 +1,7 @@
 #include "hornbeamgate/runtime/agent/engine_monitor.hpp"
 
+#include "hornbeamgate/base/json_document.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace hornbeamgate {
@@ -16,12 +18,14 @@
 
     Result<EngineReport, std::string> parseLoad(const std::string& body)
     {
+        const auto load = parseJson(body);
+        if (!load)
+            return failure(load.error().detail);
         try {
-            const auto load = json::parse(body);
             EngineReport report;
-            report.incarnation = Incarnation(load.at("incarnation").get<std::uint64_t>());
-            report.running = load.at("running").get<std::uint32_t>();
-            report.queued = load.at("queued").get<std::uint32_t>();
+            report.incarnation = Incarnation(load->at("incarnation").get<std::uint64_t>());
+            report.running = load->at("running").get<std::uint32_t>();
+            report.queued = load->at("queued").get<std::uint32_t>();
             return report;
         } catch (const json::exception& error) {
             return failure(std::string(error.what()));
@@ -30,10 +34,12 @@
 
     Result<std::vector<LoadedModel>, std::string> parseModels(const std::string& body)
     {
+        const auto answer = parseJson(body);
+        if (!answer)
+            return failure(answer.error().detail);
         try {
-            const auto answer = json::parse(body);
             std::vector<LoadedModel> models;
-            for (const auto& item : answer.at("data"))
+            for (const auto& item : answer->at("data"))
                 models.push_back({ ModelId(item.at("id").get<std::string>()), WeightsVersion(item.at("version").get<std::uint64_t>()) });
             return models;
         } catch (const json::exception& error) {
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -242,18 +242,28 @@
         m_replica.keepAt(topic, record.key, record.offset);
         return;
     }
-    m_replica.apply(topic, record);
     if (!item) {
         logEvent(LogEvent::RecordUnreadable, { { "topic", topicName(topic) }, { "key", record.key }, { "offset", record.offset.value() }, { "reason", item.error().detail } });
-        // An unreadable record does not identify a usable endpoint or daemon, so the previous entry is removed. An
-        // operator's unreadable record is ignored; in particular it does not abort a rollout.
-        if (topic == DirectoryTopic::Endpoints || topic == DirectoryTopic::Daemons)
-            removeRecord(topic, record.key);
+        applyUnreadable(topic, record);
         return;
     }
+    m_replica.apply(topic, record);
     std::visit([this](auto& value) { put(std::move(value)); }, *item);
 }
 
+void DirectoryTask::applyUnreadable(DirectoryTopic topic, const DirectoryRecord& record)
+{
+    // An operator's unreadable record is ignored; in particular it does not abort a rollout.
+    if (topic != DirectoryTopic::Endpoints && topic != DirectoryTopic::Daemons) {
+        m_replica.apply(topic, record);
+        return;
+    }
+    // It does not identify a usable endpoint or daemon, so the previous entry is removed, here and at the peers. Its value,
+    // of up to 256 KiB, is not kept.
+    m_replica.apply(topic, { record.key, std::nullopt, record.offset });
+    removeRecord(topic, record.key);
+}
+
 void DirectoryTask::removeRecord(DirectoryTopic topic, const std::string& key)
 {
     const auto now = MonotonicClock::now();
--- a/src/hornbeamgate/runtime/gateway/directory_task.hpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.hpp
@@ -60,6 +60,7 @@
     std::vector<DirectoryRecord> findWithdrawn(DirectoryTopic topic, const DirectoryPage& listing, MonotonicTime now) const;
     void apply(DirectoryTopic topic, const DirectoryRecord& record);
     void removeRecord(DirectoryTopic topic, const std::string& key);
+    void applyUnreadable(DirectoryTopic topic, const DirectoryRecord& record);
     /// Returns whether a value is older than the one in force, as a store that has come back from a copy lists it.
     bool isOutdated(const FleetConfig& config) const;
     bool isOutdated(const WeightsTarget& target) const;
--- a/src/hornbeamgate/runtime/gateway/peer_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/peer_task.cpp
@@ -27,6 +27,8 @@
     /// Number of reports that include each observation, since individual reports may be lost.
     constexpr int kReportsPerObservation = 3;
     constexpr milliseconds kFetchTimeout { 1000 };
+    /// Largest answer with a peer's records; leaves room for their framing and for one record beyond the bound.
+    constexpr std::size_t kMaxRecordsBytes = 2 * DirectoryReplica::kMaxReturnedBytes;
     /// Half of the quarter of the descriptors that is kept for engines, other gateways and the store.
     constexpr std::size_t kPeerDescriptorParts = 8;
     constexpr std::string_view kRecordsPath = "/records/";
@@ -301,7 +303,9 @@
     m_isFetching[index] = true;
     HttpRequestHead head { "GET", std::string(kRecordsPath) + std::to_string(index) + '/' + std::to_string(m_directory.replica().end(topic).value()), {}, true };
     head.fields.add("Host", peer.text());
-    m_calls.start(peer, requestText(head, {}), CallLimits::until(MonotonicClock::now() + kFetchTimeout), [this, topic, index, peer](const Result<HttpResponse, NetError>& answer) {
+    auto limits = CallLimits::until(MonotonicClock::now() + kFetchTimeout);
+    limits.maxBodyBytes = kMaxRecordsBytes;
+    m_calls.start(peer, requestText(head, {}), limits, [this, topic, index, peer](const Result<HttpResponse, NetError>& answer) {
         m_isFetching[index] = false;
         if (!answer || answer->status != kOk) {
             logEvent(LogEvent::RecordsFetched, { { "topic", topicName(topic) }, { "peer", peer.text() }, { "records", -1 }, { "reason", answer ? "unexpected status" : answer.error().detail } });
--- a/src/hornbeamgate/runtime/host_list_client.cpp
+++ b/src/hornbeamgate/runtime/host_list_client.cpp
@@ -1,5 +1,7 @@
 #include "hornbeamgate/runtime/host_list_client.hpp"
 
+#include "hornbeamgate/base/json_document.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <optional>
@@ -66,11 +68,13 @@
 
 Result<std::vector<ListedHost>, std::string> parseHostList(std::string_view body)
 {
-    const auto list = nlohmann::json::parse(body, nullptr, false);
-    if (!list.is_object() || !list.contains("hosts") || !list["hosts"].is_array())
+    const auto list = parseJson(body);
+    if (!list)
+        return failure(list.error().detail);
+    if (!list->is_object() || !list->contains("hosts") || !list->at("hosts").is_array())
         return failure(std::string("the host list has no array \"hosts\""));
     std::vector<ListedHost> hosts;
-    for (const auto& value : list["hosts"]) {
+    for (const auto& value : list->at("hosts")) {
         auto host = parseHost(value);
         if (!host)
             return failure(std::move(host.error()));
--- a/src/hornbeamgate/runtime/net/http_call.cpp
+++ b/src/hornbeamgate/runtime/net/http_call.cpp
@@ -13,7 +13,7 @@
     request.peer = peer;
     request.text = std::move(requestText);
     request.connectDeadline = limits.headDeadline;
-    request.maxBodyBytes = kMaxBodyBytes;
+    request.maxBodyBytes = limits.maxBodyBytes;
     m_timer.set(std::min(limits.deadline, limits.headDeadline));
     m_exchange = std::make_unique<HttpExchange>(pool, std::move(request),
         HttpExchange::Handlers { [this](const HttpResponseHead& head) {
--- a/src/hornbeamgate/runtime/net/http_call.hpp
+++ b/src/hornbeamgate/runtime/net/http_call.hpp
@@ -15,19 +15,21 @@
 
 /// When a call is given up.
 struct CallLimits {
-    static CallLimits until(MonotonicTime deadline) { return { deadline, deadline, std::nullopt }; }
+    /// Size of a record in the platform's store. An engine's report and the answers to the system's calls hold little more
+    /// than such a record.
+    static constexpr std::size_t kMaxBodyBytes = 262144;
+
+    static CallLimits until(MonotonicTime deadline) { return { deadline, deadline, std::nullopt, kMaxBodyBytes }; }
 
     MonotonicTime deadline; ///< for the complete response
     MonotonicTime headDeadline; ///< for the head of the response
     std::optional<Duration> maxSilence; ///< between two parts of the response
+    std::size_t maxBodyBytes = kMaxBodyBytes; ///< a larger response body is a failure
 };
 
 /// Small request whose response is buffered and reported as a whole.
 class HttpCall {
 public:
-    /// Size of the largest response body; the largest page of records is a few megabytes.
-    static constexpr std::size_t kMaxBodyBytes = 16777216;
-
     using Report = std::function<void(Result<HttpResponse, NetError>)>;
 
     /// `report` is called exactly once, never before the constructor returns, and may destroy the call. If the call is
--- a/src/hornbeamgate/runtime/platform_log_client.cpp
+++ b/src/hornbeamgate/runtime/platform_log_client.cpp
@@ -1,5 +1,6 @@
 #include "hornbeamgate/runtime/platform_log_client.hpp"
 
+#include "hornbeamgate/base/json_document.hpp"
 #include "hornbeamgate/event_log/store_era.hpp"
 #include "hornbeamgate/observability/log.hpp"
 
@@ -78,8 +79,8 @@
 
     std::optional<LogOffset> parseOffset(const std::string& body, const char* key)
     {
-        const auto answer = json::parse(body, nullptr, false);
-        return positionAt(answer, key, eraIn(answer));
+        const auto answer = parseJson(body);
+        return answer ? positionAt(*answer, key, eraIn(*answer)) : std::nullopt;
     }
 
     std::string streamTarget(const std::string& stream)
@@ -93,17 +94,19 @@
 {
     if (!answer || (answer->status != kOk && answer->status != kGone))
         return LogUnreachable {};
-    const auto body = json::parse(answer->body, nullptr, false);
-    const auto era = eraIn(body);
+    const auto body = parseJson(answer->body);
+    if (!body)
+        return LogUnreachable {};
+    const auto era = eraIn(*body);
     if (era < eraOf(from))
         return LogUnreachable {};
     if (era > eraOf(from))
         return LogRestarted { positionInEra(era, 0) };
     if (answer->status == kGone) {
-        const auto first = positionAt(body, "first", era);
+        const auto first = positionAt(*body, "first", era);
         return first ? LogReadEvent(LogTrimmed { *first }) : LogReadEvent(LogUnreachable {});
     }
-    auto records = parseRecords(body, era);
+    auto records = parseRecords(*body, era);
     return records ? LogReadEvent(std::move(*records)) : LogReadEvent(LogUnreachable {});
 }
 
--- a/src/hornbeamgate/settings/settings_reader.cpp
+++ b/src/hornbeamgate/settings/settings_reader.cpp
@@ -1,5 +1,7 @@
 #include "hornbeamgate/settings/settings_reader.hpp"
 
+#include "hornbeamgate/base/json_document.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <gio/gio.h>
@@ -76,13 +78,11 @@
 
 Result<SettingsReader, SettingsFault> SettingsReader::create(std::string_view text)
 {
-    constexpr bool kIgnoreComments = true;
+    auto document = parseJson(text, JsonComments::Ignored);
+    if (!document)
+        return failure(SettingsFault { "/", document.error().detail });
     auto state = std::make_unique<State>();
-    try {
-        state->root = json::parse(text, nullptr, true, kIgnoreComments);
-    } catch (const json::parse_error& error) {
-        return failure(SettingsFault { "/", error.what() });
-    }
+    state->root = std::move(*document);
     if (!state->root.is_object())
         return failure(SettingsFault { "/", "must be a JSON object" });
     state->scopes.push_back({ &state->root, "", {} });
--- a/src/hornbeamgate/streams/caller_request.cpp
+++ b/src/hornbeamgate/streams/caller_request.cpp
@@ -1,5 +1,7 @@
 #include "hornbeamgate/streams/caller_request.hpp"
 
+#include "hornbeamgate/base/json_document.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -93,9 +95,10 @@
 
 Result<CompletionRequest, CallerRequestError> parseCompletionRequest(RunKind kind, std::string_view body)
 {
-    auto parsed = json::parse(body, nullptr, false);
-    if (parsed.is_discarded())
-        return badRequest("the body is not valid JSON in UTF-8");
+    auto document = parseJson(body);
+    if (!document)
+        return badRequest("the body is not valid JSON in UTF-8 within the bounds on nesting and memory");
+    auto& parsed = *document;
     if (!parsed.is_object())
         return badRequest("the body must be a JSON object");
     const auto model = parsed.find("model");
--- a/src/hornbeamgate/streams/completion_assembler.cpp
+++ b/src/hornbeamgate/streams/completion_assembler.cpp
@@ -1,5 +1,7 @@
 #include "hornbeamgate/streams/completion_assembler.hpp"
 
+#include "hornbeamgate/base/json_document.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <map>
@@ -74,8 +76,11 @@
 {
     if (data == kDoneMarker)
         return {};
+    const auto chunk = parseJson(data);
+    if (!chunk)
+        return failure(chunk.error());
     try {
-        m_state->addChunk(json::parse(data));
+        m_state->addChunk(*chunk);
     } catch (const json::exception& error) {
         return failure(CodecError { error.what() });
     }
--- a/tests/base/cbor.test.cpp
+++ b/tests/base/cbor.test.cpp
@@ -1,5 +1,7 @@
 #include "hornbeamgate/base/cbor.hpp"
 
+#include "base/memory_limit.hpp"
+
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
@@ -28,6 +30,17 @@
     }
 }
 
+// Guards against messages that exhaust the memory of the process: an empty map takes 80 times its octet.
+TEST_CASE("items that would take many times their size as documents are refused before they take it [base]")
+{
+    constexpr std::size_t kMegabyte = std::size_t { 1024 } * 1024;
+    for (const std::uint8_t element : { std::uint8_t { 0xa0 }, std::uint8_t { 0x80 } }) {
+        Bytes item { 0x9a, 0x00, 0x20, 0x00, 0x00 }; // array of 2,097,152 elements
+        item.insert(item.end(), 2 * kMegabyte, element);
+        CHECK(testing::succeedsWithin(32 * kMegabyte, [&] { return !fromCbor(item).has_value(); }));
+    }
+}
+
 TEST_CASE("nested arrays and maps decode to what was encoded [base]")
 {
     const nlohmann::json value { { "list", { 1, -2, 0.5, nullptr, true } }, { "octets", nlohmann::json::binary({ 1 }) } };
--- a/tests/gateway/directory_replica.test.cpp
+++ b/tests/gateway/directory_replica.test.cpp
@@ -44,6 +44,27 @@
     CHECK_FALSE(records.front().value);
 }
 
+// Guards against answers to other daemons that grow with the records of other writers.
+TEST_CASE("records beyond the bound of an answer follow the offset of the last one returned [directory]")
+{
+    constexpr std::uint64_t kRecords = 20;
+    DirectoryReplica replica;
+    for (std::uint64_t i = 0; i < kRecords; ++i)
+        replica.apply(kTopic, record("key-" + std::to_string(i), std::string(262144, 'x'), i));
+    DirectoryReplica peer;
+    int answers = 0;
+    for (; peer.end(kTopic) < replica.end(kTopic) && answers < 10; ++answers) {
+        std::size_t bytes = 0;
+        for (const auto& returned : replica.recordsFrom(kTopic, peer.end(kTopic))) {
+            bytes += returned.key.size() + returned.value.value().size();
+            CHECK(peer.apply(kTopic, returned));
+        }
+        CHECK(bytes <= DirectoryReplica::kMaxReturnedBytes);
+    }
+    CHECK(peer.recordsFrom(kTopic, LogOffset(kRecords - 1)).size() == 1);
+    CHECK(answers == 3);
+}
+
 TEST_CASE("a listing withdraws only missing keys with offsets before its end [directory]")
 {
     DirectoryReplica replica;
--- a/tests/net/http_exchange.test.cpp
+++ b/tests/net/http_exchange.test.cpp
@@ -318,7 +318,7 @@
     server.waitFor(0, "GET /");
     server.send(0, "HTTP/1.1 200 OK\r\n\r\n");
     const std::string junk(1048576, 'x');
-    for (std::size_t sent = 0; sent <= HttpCall::kMaxBodyBytes; sent += junk.size())
+    for (std::size_t sent = 0; sent <= CallLimits::kMaxBodyBytes; sent += junk.size())
         server.send(0, junk);
     REQUIRE(runUntil([&] { return result.has_value(); }));
     CHECK_FALSE(*result);
--- a/tests/platform/directory_task.test.cpp
+++ b/tests/platform/directory_task.test.cpp
@@ -80,6 +80,18 @@
     CHECK_FALSE(fixture.state.registry.find(EndpointId("good")));
 }
 
+// Guards against unreadable entries of another writer that fill the memory of every gateway.
+TEST_CASE("the values of unreadable endpoints and daemons are not kept, those of operators are [directory]")
+{
+    for (const auto topic : { DirectoryTopic::Operators, DirectoryTopic::Endpoints, DirectoryTopic::Daemons }) {
+        Fixture fixture;
+        fixture.task.applyRecords(topic, { { "bad", "{", LogOffset(2) } });
+        const auto records = fixture.task.replica().recordsFrom(topic, LogOffset(0));
+        REQUIRE(records.size() == 1);
+        CHECK(records.front().value.has_value() == (topic == DirectoryTopic::Operators));
+    }
+}
+
 // Guards against slow starts of all endpoints when a gateway starts, and against triggers that are lost.
 TEST_CASE("endpoints that appear after the first listing, restart or load weights enter slow start [directory]")
 {
--- a/tests/platform/engine_control.test.cpp
+++ b/tests/platform/engine_control.test.cpp
@@ -1,5 +1,10 @@
 #include "platform_engine_control.hpp"
 
+#include "base/amplifying_texts.hpp"
+#include "base/memory_limit.hpp"
+
+#include "hornbeamgate/runtime/net/http_call.hpp"
+
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
@@ -42,6 +47,29 @@
     CHECK_FALSE(control.decodeReport(200, "no json"));
 }
 
+// Guards against an engine whose unreadable report exhausts the memory of the rollout leader.
+TEST_CASE("a report that would take many times its size as a document is rejected before it takes it [platform]")
+{
+    constexpr std::size_t kMegabyte = std::size_t { 1024 } * 1024;
+    const platform::PlatformEngineControl control;
+    for (const auto& text : hornbeamgate::testing::amplifyingTexts(2 * kMegabyte)) {
+        CAPTURE(text.substr(0, 16));
+        CHECK(hornbeamgate::testing::succeedsWithin(32 * kMegabyte, [&] { return !control.decodeReport(200, text); }));
+    }
+}
+
+TEST_CASE("a report as large as a record of the store is decoded [platform]")
+{
+    const platform::PlatformEngineControl control;
+    std::string models;
+    while (models.size() < CallLimits::kMaxBodyBytes - 1000)
+        models += R"({"name":"m)" + std::to_string(models.size()) + R"(","version":3,"adapters":["a","b"]},)";
+    models.pop_back();
+    const auto report = control.decodeReport(200, R"({"stage":"both","models":[)" + models + R"(],"busy":false,"sequence":2})");
+    REQUIRE(report);
+    CHECK(report->weights.at(ModelId("m0")) == WeightsVersion(3));
+}
+
 TEST_CASE("order response statuses are mapped to outcomes [platform]")
 {
     const platform::PlatformEngineControl control;
--- a/tests/platform/record_decoder.test.cpp
+++ b/tests/platform/record_decoder.test.cpp
@@ -1,5 +1,8 @@
 #include "record_decoder.hpp"
 
+#include "base/amplifying_texts.hpp"
+#include "base/memory_limit.hpp"
+
 #include <doctest/doctest.h>
 
 using namespace hornbeamgate;
@@ -70,6 +73,18 @@
     CHECK_FALSE(entry.isLeaving);
 }
 
+// Guards against records of other writers that exhaust the memory of every gateway.
+TEST_CASE("records that would take many times their size as documents are rejected before they take it [platform]")
+{
+    constexpr std::size_t kMegabyte = std::size_t { 1024 } * 1024;
+    for (const auto& text : hornbeamgate::testing::amplifyingTexts(2 * kMegabyte)) {
+        CAPTURE(text.substr(0, 16));
+        for (const auto topic : { DirectoryTopic::Operators, DirectoryTopic::Endpoints, DirectoryTopic::Daemons })
+            CHECK(hornbeamgate::testing::succeedsWithin(32 * kMegabyte, [&] { return !decode(topic, "config", text); }));
+        CHECK(hornbeamgate::testing::succeedsWithin(32 * kMegabyte, [&] { return !platform::decodeOrderRecord(text); }));
+    }
+}
+
 TEST_CASE("malformed records are rejected without throwing [platform]")
 {
     const std::vector<std::pair<DirectoryTopic, std::string>> records {
--- a/tests/runtime/platform_clients.test.cpp
+++ b/tests/runtime/platform_clients.test.cpp
@@ -1,6 +1,8 @@
 #include "hornbeamgate/runtime/host_list_client.hpp"
 #include "hornbeamgate/runtime/weight_store_client.hpp"
 
+#include "base/amplifying_texts.hpp"
+#include "base/memory_limit.hpp"
 #include "runtime/platform_fixture.hpp"
 
 #include <doctest/doctest.h>
@@ -133,6 +135,9 @@
     }
     for (const char* body : { "", "[]", "{}", R"({"hosts":{}})", R"({"hosts":[[]]})", "\xff" })
         CHECK_FALSE(parseHostList(body));
+    constexpr std::size_t kMegabyte = std::size_t { 1024 } * 1024;
+    for (const auto& body : amplifyingTexts(2 * kMegabyte))
+        CHECK(succeedsWithin(32 * kMegabyte, [&] { return !parseHostList(body); }));
 }
 
 TEST_CASE("weight store errors distinguish rate limiting from unreachability [runtime][weights]")
--- a/tests/runtime/platform_log_client.test.cpp
+++ b/tests/runtime/platform_log_client.test.cpp
@@ -2,6 +2,8 @@
 
 #include "hornbeamgate/event_log/store_era.hpp"
 
+#include "base/amplifying_texts.hpp"
+#include "base/memory_limit.hpp"
 #include "net/scripted_server.hpp"
 #include "runtime/platform_fixture.hpp"
 
@@ -138,6 +140,13 @@
         CHECK(std::holds_alternative<LogUnreachable>(parseLogRead(LogOffset(0), answer(410, body))));
         CHECK(std::holds_alternative<AppendOutcomeUnknown>(parseAppend(kTicket, answer(200, body))));
     }
+    // Answers that would take many times their size as documents.
+    constexpr std::size_t kMegabyte = std::size_t { 1024 } * 1024;
+    for (const auto& body : amplifyingTexts(2 * kMegabyte)) {
+        CAPTURE(body.substr(0, 16));
+        CHECK(succeedsWithin(48 * kMegabyte, [&] { return std::holds_alternative<LogUnreachable>(parseLogRead(LogOffset(0), answer(200, body))); }));
+        CHECK(succeedsWithin(48 * kMegabyte, [&] { return std::holds_alternative<AppendOutcomeUnknown>(parseAppend(kTicket, answer(200, body))); }));
+    }
     CHECK(std::holds_alternative<AppendOutcomeUnknown>(parseAppend(kTicket, answer(500, ""))));
 }
 
--- a/tests/settings/settings.test.cpp
+++ b/tests/settings/settings.test.cpp
@@ -1,6 +1,9 @@
 #include "hornbeamgate/settings/agent_settings.hpp"
 #include "hornbeamgate/settings/entry_settings.hpp"
 
+#include "base/amplifying_texts.hpp"
+#include "base/memory_limit.hpp"
+
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -31,6 +34,13 @@
 
 } // namespace
 
+TEST_CASE("settings that would take many times their size as documents are rejected before they take it [settings]")
+{
+    constexpr std::size_t kMegabyte = std::size_t { 1024 } * 1024;
+    for (const auto& text : hornbeamgate::testing::amplifyingTexts(2 * kMegabyte))
+        CHECK(hornbeamgate::testing::succeedsWithin(32 * kMegabyte, [&] { return !parseEntrySettings(text); }));
+}
+
 TEST_CASE("complete settings with comments are parsed [settings]")
 {
     const auto settings = parseEntrySettings(kEntry);
--- a/tests/streams/caller_request.test.cpp
+++ b/tests/streams/caller_request.test.cpp
@@ -1,6 +1,9 @@
 #include "hornbeamgate/streams/caller_request.hpp"
 #include "hornbeamgate/streams/completion_assembler.hpp"
 
+#include "base/amplifying_texts.hpp"
+#include "base/memory_limit.hpp"
+
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
@@ -62,6 +65,17 @@
     }));
 }
 
+// Guards against requests and stream chunks of a few megabytes that exhaust the memory of an entry daemon.
+TEST_CASE("requests and chunks that would take many times their size as documents are rejected before they take it [streams]")
+{
+    constexpr std::size_t kMegabyte = std::size_t { 1024 } * 1024;
+    for (const auto& text : hornbeamgate::testing::amplifyingTexts(2 * kMegabyte)) {
+        CAPTURE(text.substr(0, 16));
+        CHECK(hornbeamgate::testing::succeedsWithin(32 * kMegabyte, [&] { return !parseCompletionRequest(RunKind::Completion, text); }));
+        CHECK(hornbeamgate::testing::succeedsWithin(32 * kMegabyte, [&] { return !CompletionAssembler(RunKind::Completion).add(text); }));
+    }
+}
+
 TEST_CASE("service paths are parsed and idempotency keys are validated [streams]")
 {
     CHECK(serviceName("/services/rota/book?x=1") == "rota");
