Check keys also when the configuration has an empty list of tenants

Cause: keys were checked only if the list of workspaces was not empty, and the decoder filled that list alike for no "tenants" and for an empty one. Ruled out: the version was in force (config_applied, workspaces=0), and the key was refused before it.

The configuration now says whether it allows anonymous requests, which only one without the field does; config_applied shows it. The same cause on related paths: the JSON library iterates over null and empty objects as over empty lists, so "routes", "services", "traffic-split", "models" and order records that are null were taken for empty. They are unreadable now, and the version before stays in force.

Tests: "only a configuration that does not mention tenants ...", "a configuration or entry whose list is null ..." and "without workspaces every key is refused ..." fail with the old conditions put back (3 of 3).

--- a/src/hornbeamgate/gateway/fleet_config.hpp
+++ b/src/hornbeamgate/gateway/fleet_config.hpp
@@ -75,6 +75,9 @@
     std::vector<RouteRule> routes;
     std::vector<ServiceRule> services;
     std::vector<WorkspaceRule> workspaces;
+    /// No request needs an API key, because the configuration does not mention workspaces. An empty list of them lets nobody in
+    /// but to routes that allow anonymous requests.
+    bool allowsAnonymous = false;
     std::vector<BlockStore> blockStores;
     CallerLimits limits;
 };
--- a/src/hornbeamgate/runtime/gateway/directory_task.cpp
+++ b/src/hornbeamgate/runtime/gateway/directory_task.cpp
@@ -297,7 +297,7 @@
 {
     if (m_state.routes && config.version <= m_state.routes->config().version)
         return;
-    logEvent(LogEvent::ConfigApplied, { { "version", config.version.value() }, { "routes", config.routes.size() }, { "workspaces", config.workspaces.size() }, { "unconfirmed_ms", m_state.configAge(MonotonicClock::now()).count() } });
+    logEvent(LogEvent::ConfigApplied, { { "version", config.version.value() }, { "routes", config.routes.size() }, { "workspaces", config.workspaces.size() }, { "anonymous", config.allowsAnonymous ? 1 : 0 }, { "unconfirmed_ms", m_state.configAge(MonotonicClock::now()).count() } });
     logRateChanges(m_state.routes ? &m_state.routes->config() : nullptr, config);
     m_state.rates.setLimits(config.workspaces, MonotonicClock::now());
     auto routes = std::make_shared<const RouteTable>(std::move(config));
--- a/src/hornbeamgate/runtime/gateway/gateway_request.cpp
+++ b/src/hornbeamgate/runtime/gateway/gateway_request.cpp
@@ -117,7 +117,7 @@
         refuse({ kNotFound, "no route", {} });
         return false;
     }
-    if (!m_route->allowsAnonymous && !m_routes->config().workspaces.empty()) {
+    if (!m_route->allowsAnonymous && !m_routes->config().allowsAnonymous) {
         m_workspace = m_metadata.apiKey ? m_routes->findWorkspace(*m_metadata.apiKey) : nullptr;
         if (!m_workspace) {
             refuse({ kUnauthorized, "unknown key", {} });
--- a/tests/platform/record_decoder.test.cpp
+++ b/tests/platform/record_decoder.test.cpp
@@ -73,6 +73,67 @@
     CHECK_FALSE(entry.isLeaving);
 }
 
+// Guards against a configuration without any tenant that accepts every key.
+TEST_CASE("only a configuration that does not mention tenants allows anonymous requests [platform]")
+{
+    struct Case {
+        std::string tenants;
+        bool isReadable;
+        bool allowsAnonymous;
+    };
+    const Case cases[] = {
+        { "", true, true },
+        { R"(,"tenants":[])", true, false },
+        { R"(,"tenants":[{"name":"t"}])", true, false },
+        { R"(,"tenants":[{"name":"t","api-keys":[]}])", true, false },
+        { R"(,"tenants":null)", false, false },
+        { R"(,"tenants":{})", false, false },
+        { R"(,"tenants":"")", false, false },
+        { R"(,"tenants":[null])", false, false },
+        { R"(,"tenants":[{"api-keys":["k"]}])", false, false },
+        { R"(,"tenants":[{"name":"t","api-keys":null}])", false, false },
+    };
+    for (const auto& row : cases) {
+        CAPTURE(row.tenants);
+        const auto item = decode(DirectoryTopic::Operators, "config", R"({"version":7,"routes":[],"services":[])" + row.tenants + "}");
+        REQUIRE(item.has_value() == row.isReadable);
+        if (!item)
+            continue;
+        const auto& config = std::get<FleetConfig>(*item);
+        CHECK(config.allowsAnonymous == row.allowsAnonymous);
+        for (const auto& workspace : config.workspaces)
+            CHECK(workspace.keys.empty());
+    }
+}
+
+// Guards against fields that are null and count as empty, which would drop routes or weights.
+TEST_CASE("a configuration or entry whose list is null or no list is unreadable [platform]")
+{
+    const auto decodeConfig = [](const std::string& routes, const std::string& services, const std::string& further) {
+        std::string value = R"({"version":7,"routes":)";
+        value.append(routes).append(R"(,"services":)").append(services).append(further).append("}");
+        return decode(DirectoryTopic::Operators, "config", value).has_value();
+    };
+    const std::string route = R"({"host":"h","path-prefix":"/","kind":"safe","timeout-ms":1000,"service":"s")";
+    CHECK(decodeConfig("[]", "[]", ""));
+    CHECK(decodeConfig('[' + route + R"(,"traffic-split":[]}])", R"([{"name":"s","engine":{}}])", R"(,"limits":{})"));
+    for (const std::string other : { "null", "{}", ""
+                                                   "",
+             "0" }) {
+        CAPTURE(other);
+        CHECK_FALSE(decodeConfig(other, "[]", ""));
+        CHECK_FALSE(decodeConfig("[]", other, ""));
+        CHECK_FALSE(decodeConfig('[' + route + R"(,"traffic-split":)" + other + "}]", "[]", ""));
+        CHECK_FALSE(decode(DirectoryTopic::Endpoints, "i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":1,"state":"ready","models":)" + other + "}"));
+        CHECK_FALSE(platform::decodeOrderRecord(R"({"token":1,"leader":"front-1","orders":)" + other + "}"));
+    }
+    CHECK_FALSE(decodeConfig('[' + route + R"(,"public":null}])", "[]", ""));
+    CHECK_FALSE(decodeConfig("[]", R"([{"name":"s","engine":null}])", ""));
+    CHECK_FALSE(decodeConfig("[]", "[]", R"(,"limits":null)"));
+    CHECK_FALSE(decodeConfig("[]", "[]", R"(,"tenants":[{"name":"t","rate-per-s":null}])"));
+    CHECK_FALSE(decodeConfig("[]", "[]", R"(,"tenants":[{"name":"t","isolated":null}])"));
+}
+
 // Guards against records of other writers that exhaust the memory of every gateway.
 TEST_CASE("records that would take many times their size as documents are rejected before they take it [platform]")
 {
--- a/tests/platform/requests.test.cpp
+++ b/tests/platform/requests.test.cpp
@@ -37,6 +37,33 @@
 
 } // namespace
 
+// Guards against requests that run although the last workspace, and with it every key, was removed.
+TEST_CASE("without workspaces every key is refused, unless the configuration allows anonymous requests [requests]")
+{
+    for (const bool allowsAnonymous : { false, true }) {
+        GatewayFixture fixture;
+        auto config = makeConfig();
+        config.workspaces.clear();
+        config.allowsAnonymous = allowsAnonymous;
+        config.routes[1].allowsAnonymous = true;
+        fixture.state.routes = std::make_shared<const RouteTable>(config);
+        const auto isForwarded = [&](const std::string& path, std::size_t times) {
+            return runUntil([&] { return fixture.first.countReceived("POST " + path) == times; });
+        };
+        std::size_t forwarded = 0;
+        for (const char* key : { "", "Authorization: Bearer key\r\n", "Authorization: Bearer \r\n" }) {
+            fixture.request("/booking/x", key);
+            if (allowsAnonymous)
+                REQUIRE(isForwarded("/booking/x", ++forwarded));
+            else
+                fixture.waitFor("401");
+        }
+        fixture.request("/read/x", "Authorization: Bearer key\r\n");
+        CHECK(isForwarded("/read/x", 1));
+        CHECK(fixture.first.countReceived("POST /booking/x") == forwarded);
+    }
+}
+
 TEST_CASE("a response is returned with its status, body and signature [request]")
 {
     GatewayFixture fixture;
--- a/tests/platform/settings_template.test.cpp
+++ b/tests/platform/settings_template.test.cpp
@@ -139,3 +139,26 @@
         CHECK(settings.error().front().path == path);
     }
 }
+
+// Guards against settings whose lists are empty, null or missing and mean something else than the page says.
+TEST_CASE("lists in the settings may be empty or missing, and null is a fault [settings]")
+{
+    const std::string required = R"({"host":"front-1","data_center":"postojna","region":"notranjska","callers":"10.1.0.24:8606",
+ "readiness":"10.1.0.24:8605","peers":"10.1.0.24:7600","admin":"10.1.0.24:7615","store":"10.200.1.7:8601")";
+    for (const std::string lists : { "", R"(,"contracts":[],"data_centers":[])" }) {
+        const auto settings = parseGatewaySettings(required + lists + "}");
+        REQUIRE(settings);
+        CHECK(settings->contracts.empty());
+        CHECK(settings->regions.size() == 1);
+        CHECK_FALSE(settings->versionRollouts);
+    }
+    const auto defaults = parseGatewaySettings(required + R"(,"version_rollouts":{}})");
+    REQUIRE(defaults);
+    CHECK(defaults->versionRollouts);
+    for (const std::string key : { "contracts", "data_centers", "version_rollouts", "retry_ratio", "memory_mb", "store", "host" }) {
+        CAPTURE(key);
+        std::string settings = required;
+        settings.append(",\"").append(key).append("\":null}");
+        CHECK_FALSE(parseGatewaySettings(settings));
+    }
+}
