Give the decoder's test of lists a value that is text

The formatter had split the escaped quotes into an empty text, which is no JSON at all and so showed nothing about texts. The clang-tidy finding in its concatenations is gone too.

--- a/tests/platform/record_decoder.test.cpp
+++ b/tests/platform/record_decoder.test.cpp
@@ -117,15 +117,14 @@
     const std::string route = R"({"host":"h","path-prefix":"/","kind":"safe","timeout-ms":1000,"service":"s")";
     CHECK(decodeConfig("[]", "[]", ""));
     CHECK(decodeConfig('[' + route + R"(,"traffic-split":[]}])", R"([{"name":"s","engine":{}}])", R"(,"limits":{})"));
-    for (const std::string other : { "null", "{}", ""
-                                                   "",
-             "0" }) {
+    for (const std::string other : { "null", "{}", R"("x")", "0" }) {
         CAPTURE(other);
         CHECK_FALSE(decodeConfig(other, "[]", ""));
         CHECK_FALSE(decodeConfig("[]", other, ""));
-        CHECK_FALSE(decodeConfig('[' + route + R"(,"traffic-split":)" + other + "}]", "[]", ""));
-        CHECK_FALSE(decode(DirectoryTopic::Endpoints, "i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":1,"state":"ready","models":)" + other + "}"));
-        CHECK_FALSE(platform::decodeOrderRecord(R"({"token":1,"leader":"front-1","orders":)" + other + "}"));
+        const auto withField = [&other](std::string object, const char* field) { return object.append(",\"").append(field).append("\":").append(other).append("}"); };
+        CHECK_FALSE(decodeConfig("[" + withField(route, "traffic-split") + "]", "[]", ""));
+        CHECK_FALSE(decode(DirectoryTopic::Endpoints, "i-1", withField(R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":1,"state":"ready")", "models")));
+        CHECK_FALSE(platform::decodeOrderRecord(withField(R"({"token":1,"leader":"front-1")", "orders")));
     }
     CHECK_FALSE(decodeConfig('[' + route + R"(,"public":null}])", "[]", ""));
     CHECK_FALSE(decodeConfig("[]", R"([{"name":"s","engine":null}])", ""));
