--- a/tests/platform/directory.test.cpp
+++ b/tests/platform/directory.test.cpp
@@ -125,6 +125,26 @@
     CHECK(store.requestLines[1] == "GET /hornbeamgate/log-newest?topic=keyed.servers&part=0&after=a%20b");
 }
 
+// Guards against responses of a faulty store that fill the memory of the gateway, and against bounds below a full page.
+TEST_CASE("a full page of the store is read, and larger responses are failures [platform]")
+{
+    constexpr std::size_t kRecordBytes = 262144;
+    constexpr std::size_t kTooLargePage = std::size_t { 5 } * 1024 * 1024;
+    ScriptedStore store;
+    std::string page = bigEndian(5, 8) + bigEndian(0, 8);
+    for (int i = 0; i < 5; ++i)
+        page += keyedRecord("k", std::string(kRecordBytes, 'x'));
+    store.answers = { { 200, {}, page }, { 200, {}, std::string(kTooLargePage, 'x') }, { 200, {}, std::string(kTooLargePage, ' ') + kEmptyListing },
+        { 200, {}, std::string(kRecordBytes, ' ') + kAppended } };
+    platform::PlatformDirectory directory(store.acceptor->address());
+    const auto records = watchFrom(directory, LogOffset(0));
+    REQUIRE(records);
+    CHECK(records->records.size() == 5);
+    CHECK_FALSE(watchFrom(directory, LogOffset(0)));
+    CHECK_FALSE(list(directory));
+    CHECK_FALSE(result<LogOffset>([&](auto callback) { directory.saveObservations(HostId("front-1"), {}, callback); }));
+}
+
 TEST_CASE("watch returns records with their offsets, and an empty value as a removal [platform]")
 {
     ScriptedStore store;
