--- a/src/hornbeamgate/base/internal/document_bounds.cpp
+++ b/src/hornbeamgate/base/internal/document_bounds.cpp
@@ -8,7 +8,7 @@
 
     /// An eighth of the 64 MB that a daemon may take; a record of the store, of up to 256 KiB, stays below it.
     constexpr std::size_t kFixedBytes = std::size_t { 8 } * 1024 * 1024;
-    /// An object with short names and short texts takes some 12 times its text.
+    /// With the fixed part, covers up to 4 MiB of objects with short names and texts, which take some ten times their text.
     constexpr std::size_t kBytesPerEncodedByte = 8;
 
     /// Memory of the parts of a document on 64-bit machines, with what the allocator adds.
--- a/src/hornbeamgate/runtime/net/http_call.hpp
+++ b/src/hornbeamgate/runtime/net/http_call.hpp
@@ -15,8 +15,7 @@
 
 /// When a call is given up.
 struct CallLimits {
-    /// Size of a record in the platform's store. An engine's report and the answers to the system's calls hold little more
-    /// than such a record.
+    /// Size of the largest record in the platform's store. Engines' reports and answers to orders and appends are smaller.
     static constexpr std::size_t kMaxBodyBytes = 262144;
 
     static CallLimits until(MonotonicTime deadline) { return { deadline, deadline, std::nullopt, kMaxBodyBytes }; }
